--- a/apps/mustardd/main.cpp
+++ b/apps/mustardd/main.cpp
@@ -2,6 +2,8 @@
 #include <mustardcourse/core/errors.h>
 #include <mustardcourse/daemon/daemon.h>
 
+#include <platform_host.h>
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -36,6 +38,16 @@
     return isDrained ? ExitOk : ExitNotDrained;
 }
 
+int serveOnPlatform(const settings::serving_settings &host, const std::string &file)
+{
+    const system_clock clock;
+    const logger log(clock, host.host.value(), host.logLevel);
+    net::loop loop;
+    platform_adapter::platform_host platformHost(loop, clock, log, host, file);
+    loop.run();
+    return ExitOk;
+}
+
 int run()
 {
     const std::string file = absl::GetFlag(FLAGS_settings);
@@ -44,7 +56,15 @@
         return ExitUsage;
     }
     try {
-        const auto host = settings::host_settings::read(settings::ini_document::load(file));
+        const auto document = settings::ini_document::load(file);
+        if (settings::serving_settings::isMeant(document)) {
+            const auto host = settings::serving_settings::read(document);
+            if (!absl::GetFlag(FLAGS_check_settings))
+                return serveOnPlatform(host, file);
+            fmt::print("{}: accepted\n", file);
+            return ExitOk;
+        }
+        const auto host = settings::host_settings::read(document);
         if (absl::GetFlag(FLAGS_check_settings)) {
             fmt::print("{}: accepted\n", file);
             return ExitOk;
--- a/include/mustardcourse/core/ids.h
+++ b/include/mustardcourse/core/ids.h
@@ -19,6 +19,9 @@
 /** Name of a search service. */
 using service_id = strong_value<struct service_id_tag, std::string>;
 
+/** Name of one instance of a target, as it registers itself. */
+using instance_id = strong_value<struct instance_id_tag, std::string>;
+
 /** Identifier that a caller gives to one request; a retry repeats it. */
 using request_id = strong_value<struct request_id_tag, std::string>;
 
--- a/include/mustardcourse/core/log.h
+++ b/include/mustardcourse/core/log.h
@@ -35,7 +35,9 @@
 };
 
 /**
-    Writes one line of key=value pairs for each event to standard error.
+    Writes one line of key=value pairs for each event to standard output.
+
+    It never blocks: a line that the reader of the output has no room for is dropped and counted.
 
     Give each component of a process a reference to the same logger. Never pass credentials or
     request bodies as fields.
@@ -66,10 +68,23 @@
         write(log_level::Error, event, fields);
     }
 
+    /**
+        Writes a line of an event that grows with the load, unless there were too many within this
+        second. The number left out is told with the first line of the next second.
+    */
+    void limited(std::string_view event, std::initializer_list<log_field> fields) const;
+
+    /** Returns the lines that were left out or dropped so far. */
+    [[nodiscard]] std::uint64_t droppedCount() const noexcept { return m_dropped; }
+
 private:
     const clock &m_clock;
     std::string m_host;
     log_level m_threshold;
+    mutable time_point m_secondBegan{};
+    mutable std::size_t m_linesInSecond = 0;
+    mutable std::size_t m_leftOut = 0;
+    mutable std::uint64_t m_dropped = 0;
 };
 
 } // namespace mustardcourse
--- /dev/null
+++ b/include/mustardcourse/serving/query_service.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <mustardcourse/core/log.h>
+#include <mustardcourse/serving/query.h>
+#include <mustardcourse/serving/retry_budgets.h>
+#include <mustardcourse/serving/target_connections.h>
+
+#include <map>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace mustardcourse::serving {
+
+/** Settings of the request path of a host. */
+struct query_settings
+{
+    /** Time of a message between a caller and this host. */
+    duration callerTravel = std::chrono::milliseconds(3);
+    /** Time kept for the work on an answer before a caller's objective or deadline. */
+    duration answerMargin = std::chrono::milliseconds(2);
+    /** How long an attempt may run on after its request has ended: a new connection costs a target
+        more than a short rest of work, and a longer one is wasted. */
+    duration abandonedAttemptTime = std::chrono::milliseconds(200);
+    /** When to come back after a refusal. */
+    duration retryAfter = std::chrono::milliseconds(100);
+    /** The longest idle time of a connection that carries a non-idempotent request: one that the
+        target has dropped unnoticed would leave the result unknown. */
+    duration longestIdleForOnce = std::chrono::seconds(1);
+};
+
+/** What every part of the request path uses. */
+struct query_environment
+{
+    net::loop &loop;
+    const clock &time;
+    const logger &log;
+    serving_metrics &metrics;
+    target_directory &directory;
+};
+
+/**
+    Serves callers' requests: one to a single target, or one to a target of every shard.
+
+    It alone decides on targets, retries, second attempts and the time of the answer. The format
+    translates messages. @see request_format, scatter
+*/
+template <request_format Format>
+class query_service
+{
+public:
+    query_service(query_environment environment, Format format, query_settings settings,
+                  shared_retry_terms retryTerms);
+
+    /** Serves a request to its end. */
+    void serve(std::unique_ptr<http::caller_exchange> exchange);
+
+    /** Sets the configuration for requests that begin from now on. */
+    void setConfiguration(configuration_pointer inForce) { m_configuration = std::move(inForce); }
+    [[nodiscard]] const configuration_pointer &inForce() const noexcept { return m_configuration; }
+
+    /** Sets how many hosts share the limits. Precondition: at least one. */
+    void setMemberCount(std::size_t count);
+
+    /** Sets the settings of requests that begin from now on. */
+    void setSettings(const query_settings &settings, const shared_retry_terms &retryTerms);
+
+    /** Drops what belongs to targets that are gone. Call it from time to time. */
+    void closeUnused() { m_connections.closeUnused(m_environment.directory); }
+
+    /** Tries the requests that wait for a target again, as targets have changed. */
+    void retryWaiting();
+
+    [[nodiscard]] std::size_t runningCount() const noexcept { return m_queries.size(); }
+
+private:
+    enum class send_result { Sent, NoTarget, NoRoom };
+
+    /** Orders waiting requests: the most urgent first, then the earliest deadline. */
+    using waiting_key = std::tuple<route_priority, time_point, query_number, std::size_t>;
+
+    void start(std::unique_ptr<http::caller_exchange> exchange, caller_call call,
+               const route &matched);
+    [[nodiscard]] scatter_terms termsFor(const http::caller_exchange &exchange,
+                                         const caller_call &call, const route &matched,
+                                         const route_statistics &statistics) const;
+    void sendFirst(query &asked, std::size_t shard);
+    send_result send(query &asked, std::size_t shard);
+    void transmit(query &asked, std::size_t shard, target &chosen, std::size_t connections);
+    void onExchangeEnd(std::uint64_t number, http::exchange_result &&result);
+    void noteEvidence(const attempt &ended, target_evidence evidence);
+    void takeAnswer(const attempt &ended, attempt_end end, std::optional<target_answer> answer);
+    void retry(query &asked, std::size_t shard);
+    void hedge(query &asked);
+    void settle(query &asked);
+    void schedule(query &asked);
+    void onTimer(query_number number);
+    void finish(query &asked, scatter_verdict verdict);
+    http::reply answerOf(query &asked) const;
+    http::reply failureOf(query &asked, refusal &reason) const;
+    void report(const query &asked, std::string_view outcome, int status) const;
+    void abandon(query_number number);
+    void release(query_number number);
+    void wakeWaiting(const service_id &service);
+    void expireAttempts();
+    std::shared_ptr<route_statistics> statisticsOf(const route &matched);
+
+    query_environment m_environment;
+    Format m_format;
+    query_settings m_settings;
+    retry_budgets m_budgets;
+    target_connections m_connections;
+    configuration_pointer m_configuration;
+    std::map<route_id, std::shared_ptr<route_statistics>> m_statistics;
+    std::unordered_map<query_number, std::unique_ptr<query>> m_queries;
+    std::unordered_map<std::uint64_t, attempt> m_attempts;
+    std::map<service_id, std::set<waiting_key>> m_waiting;
+    query_number m_lastQuery = 0;
+    std::uint64_t m_lastAttempt = 0;
+    net::timer m_expiry;
+    bool m_isExpiryRunning = false;
+};
+
+} // namespace mustardcourse::serving
+
+#include <mustardcourse/serving/query_service_implementation.h>
--- /dev/null
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <mustardcourse/core/clock.h>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace mustardcourse::serving {
+
+/** The metrics of a host that serves callers' requests. */
+class serving_metrics
+{
+public:
+    serving_metrics();
+
+    /** Returns all metrics in Prometheus' text format. */
+    [[nodiscard]] std::string render() const;
+
+    /** Counts the end of a request and its latency. */
+    void countRequest(const std::string &outcome, duration latency);
+
+    /** Counts the end of an attempt at a target. */
+    void countAttempt(const std::string &end);
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter> &m_requests;
+    prometheus::Family<prometheus::Counter> &m_attempts;
+    prometheus::Histogram &m_latency;
+
+public:
+    prometheus::Counter &hedges;
+    prometheus::Counter &retries;
+    prometheus::Counter &budgetDenials;
+    prometheus::Counter &dials;
+    prometheus::Counter &storeCalls;
+    prometheus::Counter &storeFailures;
+    prometheus::Counter &logLinesDropped;
+    prometheus::Gauge &configurationVersion;
+    prometheus::Gauge &targets;
+    prometheus::Gauge &members;
+    prometheus::Gauge &requestsRunning;
+};
+
+} // namespace mustardcourse::serving
--- /dev/null
+++ b/include/mustardcourse/serving/target_directory.h
@@ -0,0 +1,224 @@
+#pragma once
+
+#include <mustardcourse/core/clock.h>
+#include <mustardcourse/core/endpoint.h>
+#include <mustardcourse/core/ids.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardcourse::serving {
+
+/** Orders what a target says of itself: by its start, then by its count since then. */
+struct report_order
+{
+    /** Time of the start in milliseconds of Unix time; zero if the target does not tell. */
+    std::uint64_t startedAt = 0;
+    std::uint64_t sequence = 0;
+
+    friend auto operator<=>(const report_order &, const report_order &) = default;
+};
+
+/** What a target has registered. */
+struct target_registration
+{
+    instance_id instance;
+    service_id service;
+    endpoint address;
+    data_centre_id dataCentre;
+    /** Requests that it runs at the same time. */
+    std::size_t slots = 1;
+    bool isLeaving = false;
+    /** How much longer it bears little load, counted from the report. */
+    std::chrono::milliseconds coldFor{0};
+    report_order order;
+};
+
+/** Load that a target reports with a response. */
+struct reported_load
+{
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    std::size_t slots = 1;
+};
+
+/** How a request to a target ended, as far as it tells of the target. */
+enum class target_evidence {
+    /** It answered in time. */
+    Success,
+    /** It refused the request for want of room. */
+    Refused,
+    /** It failed, broke off, or could not be reached. */
+    Failure,
+    /** The request was cancelled, which tells that it took at least so long. */
+    Cancelled,
+};
+
+/** One registered target with what this host knows of it from its own requests. */
+class target
+{
+public:
+    target(target_registration registration, time_point now);
+
+    [[nodiscard]] const target_registration &registration() const noexcept
+    {
+        return m_registration;
+    }
+
+    /** Takes a newer report. Knowledge of an earlier start is dropped. */
+    void update(target_registration registration, time_point now);
+
+    /** Notes that a request was sent. */
+    void noteSent(time_point now);
+
+    /**
+        Notes the end of a request.
+
+        @param sent      when it was sent
+        @param expected  latency that such a request has on average over all targets
+    */
+    void noteEnd(target_evidence evidence, time_point sent, time_point now, duration expected);
+
+    void noteLoad(const reported_load &load, time_point now);
+
+    /** Returns the time at which it may be asked again after failures. */
+    [[nodiscard]] time_point avoidedUntil() const noexcept { return m_avoidedUntil; }
+    [[nodiscard]] bool isCold(time_point now) const noexcept { return now < m_coldUntil; }
+    [[nodiscard]] std::size_t inFlight() const noexcept { return m_sentAt.size(); }
+    [[nodiscard]] double slowness(time_point now) const;
+
+    /** Returns how long a request would probably take, with the wait in the target's queue. */
+    [[nodiscard]] duration expectedLatency(duration expected, time_point now) const;
+
+private:
+    [[nodiscard]] double occupancy(time_point now) const;
+
+    target_registration m_registration;
+    time_point m_coldUntil;
+    time_point m_avoidedUntil;
+    std::vector<time_point> m_sentAt;
+    std::size_t m_failuresInRow = 0;
+    double m_failureShare = 0;
+    double m_slowness = 1;
+    time_point m_slownessAt;
+    reported_load m_load;
+    time_point m_loadAt;
+};
+
+/** What one choice of a target has to respect. */
+struct choice_terms
+{
+    const service_id &service;
+    /** Average latency of such requests. */
+    duration expected;
+    /** Targets that this request has tried. */
+    const std::vector<instance_id> &tried;
+};
+
+/** Cost of a target in another data centre, as the latency that it is worth. */
+struct placement_terms
+{
+    data_centre_id ownDataCentre;
+    duration otherDataCentrePenalty = std::chrono::milliseconds(8);
+};
+
+/**
+    All targets that a host may use, by service.
+
+    Reports of a target that are older than what is known are ignored, also after it has gone, so
+    that a write delivered late does not bring a target back. It does no I/O.
+*/
+class target_directory
+{
+public:
+    target_directory(const clock &clock, placement_terms placement);
+
+    /** Takes a report. @returns whether anything but the order of the report has changed */
+    bool update(target_registration registration);
+
+    /** Removes a target. */
+    void remove(const instance_id &instance);
+
+    /** Removes the targets that are not in a complete listing. @returns those removed */
+    std::vector<instance_id> retainOnly(const std::set<instance_id> &listed);
+
+    /** Sets the data centres whose targets get no requests. */
+    void setEvacuated(std::set<data_centre_id> dataCentres);
+    [[nodiscard]] const std::set<data_centre_id> &evacuated() const noexcept
+    {
+        return m_evacuated;
+    }
+
+    /**
+        Returns the best target for a request, or null.
+
+        @param hasRoom  returns whether a request could be sent to a target now
+    */
+    template <typename Room>
+    [[nodiscard]] target *choose(const choice_terms &terms, Room &&hasRoom);
+
+    /** Returns whether any target of the service may get requests at all. */
+    [[nodiscard]] bool isServed(const service_id &service) const;
+
+    /** Returns the slots of the targets of a service that may get requests. */
+    [[nodiscard]] std::size_t slotsOf(const service_id &service) const;
+
+    [[nodiscard]] target *find(const instance_id &instance);
+    [[nodiscard]] std::vector<const target *> all() const;
+
+private:
+    [[nodiscard]] bool isUsable(const target &candidate) const;
+    [[nodiscard]] duration costOf(const target &candidate, duration expected, time_point now) const;
+
+    struct gone_target
+    {
+        report_order order;
+        time_point since;
+    };
+
+    const clock &m_clock;
+    placement_terms m_placement;
+    std::map<service_id, std::vector<std::unique_ptr<target>>> m_byService;
+    std::map<instance_id, target *> m_byInstance;
+    std::map<instance_id, gone_target> m_gone;
+    std::set<data_centre_id> m_evacuated;
+};
+
+template <typename Room>
+target *target_directory::choose(const choice_terms &terms, Room &&hasRoom)
+{
+    const auto found = m_byService.find(terms.service);
+    if (found == m_byService.end())
+        return nullptr;
+    const time_point now = m_clock.now();
+    target *best = nullptr;
+    target *avoided = nullptr;
+    duration bestCost = duration::max();
+    for (const auto &candidate : found->second) {
+        const instance_id &instance = candidate->registration().instance;
+        const bool isTried =
+            std::find(terms.tried.begin(), terms.tried.end(), instance) != terms.tried.end();
+        if (isTried || !isUsable(*candidate) || !hasRoom(*candidate))
+            continue;
+        if (candidate->avoidedUntil() > now) {
+            const bool isSooner =
+                avoided == nullptr || candidate->avoidedUntil() < avoided->avoidedUntil();
+            avoided = isSooner ? candidate.get() : avoided;
+            continue;
+        }
+        const duration cost = costOf(*candidate, terms.expected, now);
+        if (cost < bestCost) {
+            best = candidate.get();
+            bestCost = cost;
+        }
+    }
+    // Where all are avoided, one of them may still serve, and nothing else would show it.
+    return best != nullptr ? best : avoided;
+}
+
+} // namespace mustardcourse::serving
--- a/include/mustardcourse/settings/ini_document.h
+++ b/include/mustardcourse/settings/ini_document.h
@@ -124,6 +124,9 @@
     /** Returns a fraction from 0 to 1, written in per cent with the sign. @throws settings_error */
     double percentage(std::string_view key, double fallback);
 
+    /** Returns a number that need not be whole. @throws settings_error */
+    double number(std::string_view key, double fallback, double least, double most);
+
     /** Returns an address and port. @throws settings_error */
     endpoint address(std::string_view key);
 
--- a/modules/core/log.cpp
+++ b/modules/core/log.cpp
@@ -3,12 +3,17 @@
 #include <fmt/chrono.h>
 
 #include <algorithm>
-#include <cstdio>
+#include <utility>
+#include <poll.h>
+#include <unistd.h>
 
 namespace mustardcourse {
 
 namespace {
 
+/** Lines a second of events that grow with the load; some tens a second explain any failure. */
+constexpr std::size_t limitedLinesPerSecond = 40;
+
 bool needsQuotes(std::string_view value)
 {
     if (value.empty())
@@ -80,7 +85,28 @@
         appendField(line, field.key, field.value);
 
     line.push_back('\n');
-    fmt::print(stderr, "{}", fmt::to_string(line));
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    const bool isWritten = ::poll(&output, 1, 0) == 1
+        && ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+    m_dropped += isWritten ? 0 : 1;
+}
+
+void logger::limited(std::string_view event, std::initializer_list<log_field> fields) const
+{
+    const time_point now = m_clock.now();
+    if (now - m_secondBegan >= std::chrono::seconds(1)) {
+        const std::size_t leftOut = std::exchange(m_leftOut, 0);
+        m_secondBegan = now;
+        m_linesInSecond = 0;
+        if (leftOut > 0)
+            info("log-lines-left-out", {{"count", leftOut}});
+    }
+    if (++m_linesInSecond > limitedLinesPerSecond) {
+        ++m_leftOut;
+        ++m_dropped;
+        return;
+    }
+    info(event, fields);
 }
 
 } // namespace mustardcourse
--- /dev/null
+++ b/modules/http/caller_connection.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <mustardcourse/http/caller_server.h>
+
+namespace mustardcourse::http {
+
+/** One connection of a caller. It deletes itself when the connection ends. */
+class caller_connection final : private net::stream_handler
+{
+public:
+    caller_connection(caller_server &server, std::unique_ptr<net::stream> accepted);
+    ~caller_connection() override;
+    caller_connection(const caller_connection &) = delete;
+    caller_connection &operator=(const caller_connection &) = delete;
+
+    /** Sends the response of the exchange under way. */
+    void respond(reply answer);
+
+    /** Notes that the exchange under way was given up without a response. */
+    void abandon();
+
+    [[nodiscard]] bool isIdle() const noexcept;
+    [[nodiscard]] bool hasExchange() const noexcept { return m_exchange != nullptr; }
+
+private:
+    void onData(std::string_view data) override;
+    void onEnd(net::stream_end reason) override;
+
+    void parse();
+    void startExchange();
+    void refuse(int status);
+    void onTimeout();
+    void watchIdle();
+    void finish();
+
+    caller_server &m_server;
+    std::unique_ptr<net::stream> m_stream;
+    message_reader m_reader;
+    net::timer m_timer;
+    std::string m_unread;
+    caller_exchange *m_exchange = nullptr;
+    bool m_isFirst = true;
+    bool m_keepsOpen = true;
+    bool m_isFinishing = false;
+    bool m_isContinueSent = false;
+    bool m_isParsing = false;
+};
+
+} // namespace mustardcourse::http
--- /dev/null
+++ b/modules/net/stream.cpp
@@ -0,0 +1,230 @@
+#include <mustardcourse/net/stream.h>
+
+#include <mustardcourse/core/errors.h>
+
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+namespace mustardcourse::net {
+
+namespace {
+
+/** Length of the queue of connections that are not accepted yet. */
+constexpr int acceptBacklog = 512;
+/** Unanswered keep-alive probes, a second apart, after which a connection counts as broken. */
+constexpr int keepAliveProbes = 2;
+
+sockaddr_in socketAddress(const endpoint &address)
+{
+    sockaddr_in result{};
+    uv_ip4_addr(address.address().c_str(), address.port(), &result);
+    return result;
+}
+
+} // namespace
+
+struct stream::implementation
+{
+    uv_tcp_t tcp{};
+    uv_connect_t connecting{};
+    uv_shutdown_t finishing{};
+    loop *owner = nullptr;
+    stream_handler *handler = nullptr;
+    bool isConnected = false;
+    bool isFinishing = false;
+
+    uv_stream_t *asStream() { return reinterpret_cast<uv_stream_t *>(&tcp); }
+    static implementation &of(uv_handle_t *handle)
+    {
+        return *static_cast<implementation *>(handle->data);
+    }
+    static implementation &of(uv_stream_t *handle)
+    {
+        return *static_cast<implementation *>(handle->data);
+    }
+
+    static implementation *create(loop &loop)
+    {
+        auto *self = new implementation;
+        self->owner = &loop;
+        uv_tcp_init(loop.handle(), &self->tcp);
+        self->tcp.data = self;
+        return self;
+    }
+
+    void applyTimeouts(const stream_timeouts &timeouts)
+    {
+        uv_os_fd_t descriptor = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t *>(&tcp), &descriptor) != 0)
+            return;
+        const auto milliseconds = static_cast<unsigned>(timeouts.unacknowledged.count());
+        setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+        if (timeouts.idleBeforeProbe.count() == 0)
+            return;
+        const int on = 1;
+        const int idle = static_cast<int>(timeouts.idleBeforeProbe.count());
+        setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &on, sizeof(on));
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(keepAliveProbes));
+    }
+
+    void startReading()
+    {
+        isConnected = true;
+        uv_tcp_nodelay(&tcp, 1);
+        uv_read_start(
+            asStream(),
+            [](uv_handle_t *handle, std::size_t, uv_buf_t *buffer) {
+                std::vector<char> &bytes = of(handle).owner->readBuffer();
+                *buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+            },
+            [](uv_stream_t *handle, ssize_t count, const uv_buf_t *buffer) {
+                implementation &self = of(handle);
+                if (count > 0)
+                    self.handler->onData({buffer->base, static_cast<std::size_t>(count)});
+                else if (count < 0)
+                    self.end(count == UV_EOF ? stream_end::PeerClosed : stream_end::Broken);
+            });
+    }
+
+    void end(stream_end reason)
+    {
+        if (handler == nullptr)
+            return;
+        uv_read_stop(asStream());
+        stream_handler *told = handler;
+        handler = nullptr;
+        told->onEnd(reason);
+    }
+};
+
+stream::stream(implementation *connection) noexcept
+    : m_implementation(connection)
+{ }
+
+stream::~stream()
+{
+    m_implementation->handler = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->tcp),
+             [](uv_handle_t *handle) { delete &implementation::of(handle); });
+}
+
+std::unique_ptr<stream> stream::dial(loop &loop, const endpoint &peer, stream_handler &handler,
+                                     const stream_timeouts &timeouts)
+{
+    implementation *self = implementation::create(loop);
+    self->handler = &handler;
+    const sockaddr_in address = socketAddress(peer);
+    self->connecting.data = self;
+    uv_tcp_connect(&self->connecting, &self->tcp, reinterpret_cast<const sockaddr *>(&address),
+                   [](uv_connect_t *request, int status) {
+                       if (status == UV_ECANCELED)
+                           return;
+                       auto &connected = *static_cast<implementation *>(request->data);
+                       if (status < 0)
+                           return connected.end(stream_end::NotConnected);
+                       connected.startReading();
+                       connected.handler->onConnected();
+                   });
+    self->applyTimeouts(timeouts);
+    return std::unique_ptr<stream>(new stream(self));
+}
+
+void stream::setHandler(stream_handler &handler) noexcept
+{
+    m_implementation->handler = &handler;
+    if (!m_implementation->isConnected)
+        m_implementation->startReading();
+}
+
+void stream::write(std::string data)
+{
+    implementation &self = *m_implementation;
+    std::size_t sent = 0;
+    if (uv_stream_get_write_queue_size(self.asStream()) == 0 && self.isConnected) {
+        const uv_buf_t buffer = uv_buf_init(data.data(), static_cast<unsigned>(data.size()));
+        const int count = uv_try_write(self.asStream(), &buffer, 1);
+        sent = count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    if (sent == data.size())
+        return;
+
+    struct pending_write
+    {
+        uv_write_t request{};
+        std::string bytes;
+    };
+    auto *pending = new pending_write{{}, data.substr(sent)};
+    pending->request.data = pending;
+    const uv_buf_t buffer =
+        uv_buf_init(pending->bytes.data(), static_cast<unsigned>(pending->bytes.size()));
+    uv_write(&pending->request, self.asStream(), &buffer, 1, [](uv_write_t *request, int status) {
+        uv_stream_t *handle = request->handle;
+        delete static_cast<pending_write *>(request->data);
+        if (status < 0 && status != UV_ECANCELED)
+            implementation::of(handle).end(stream_end::Broken);
+    });
+}
+
+std::size_t stream::unsentBytes() const noexcept
+{
+    return uv_stream_get_write_queue_size(m_implementation->asStream());
+}
+
+void stream::finish()
+{
+    implementation &self = *m_implementation;
+    if (self.isFinishing)
+        return;
+    self.isFinishing = true;
+    uv_shutdown(&self.finishing, self.asStream(), [](uv_shutdown_t *, int) {});
+}
+
+struct listener::implementation
+{
+    uv_tcp_t tcp{};
+    loop *owner = nullptr;
+    accept_handler handler;
+};
+
+listener::listener(loop &loop, const endpoint &address, accept_handler handler)
+    : m_implementation(new implementation)
+{
+    implementation &self = *m_implementation;
+    self.owner = &loop;
+    self.handler = std::move(handler);
+    uv_tcp_init(loop.handle(), &self.tcp);
+    self.tcp.data = &self;
+    const sockaddr_in local = socketAddress(address);
+    int status = uv_tcp_bind(&self.tcp, reinterpret_cast<const sockaddr *>(&local), 0);
+    if (status == 0)
+        status = uv_listen(reinterpret_cast<uv_stream_t *>(&self.tcp), acceptBacklog,
+                           [](uv_stream_t *server, int failure) {
+                               if (failure < 0)
+                                   return;
+                               auto &listening = *static_cast<implementation *>(server->data);
+                               auto *peer = stream::implementation::create(*listening.owner);
+                               std::unique_ptr<stream> accepted(new stream(peer));
+                               if (uv_accept(server, peer->asStream()) != 0)
+                                   return;
+                               peer->applyTimeouts({});
+                               listening.handler(std::move(accepted));
+                           });
+    if (status == 0)
+        return;
+    uv_close(reinterpret_cast<uv_handle_t *>(&self.tcp),
+             [](uv_handle_t *handle) { delete static_cast<implementation *>(handle->data); });
+    throw listen_error(
+        fmt::format("cannot listen on {}: {}", address.toString(), uv_strerror(status)));
+}
+
+listener::~listener()
+{
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->tcp),
+             [](uv_handle_t *handle) { delete static_cast<implementation *>(handle->data); });
+}
+
+} // namespace mustardcourse::net
--- /dev/null
+++ b/modules/serving/retry_budgets.cpp
@@ -0,0 +1,46 @@
+#include <mustardcourse/serving/retry_budgets.h>
+
+namespace mustardcourse::serving {
+
+namespace {
+
+/** Part of the shared bound that is spent, so that a moment of differing views does not break it. */
+constexpr double spentPart = 0.8;
+/** Part of the reserve that a host has at its start; a restarted host has spent some before. */
+constexpr double initialPart = 0.25;
+
+} // namespace
+
+retry_budgets::retry_budgets(shared_retry_terms terms)
+    : m_terms(terms)
+{ }
+
+double retry_budgets::reserve() const
+{
+    return spentPart * m_terms.extra / static_cast<double>(m_memberCount);
+}
+
+void retry_budgets::setMemberCount(std::size_t count)
+{
+    m_memberCount = count;
+    for (auto &[service, budget] : m_budgets)
+        budget.setReserve(reserve());
+}
+
+void retry_budgets::setTerms(const shared_retry_terms &terms)
+{
+    m_terms = terms;
+    for (auto &[service, budget] : m_budgets)
+        budget.setReserve(reserve());
+}
+
+limits::retry_budget &retry_budgets::of(const service_id &service)
+{
+    const auto found = m_budgets.find(service);
+    if (found != m_budgets.end())
+        return found->second;
+    limits::retry_budget budget(spentPart * m_terms.ratio, reserve(), initialPart * reserve());
+    return m_budgets.emplace(service, budget).first->second;
+}
+
+} // namespace mustardcourse::serving
--- /dev/null
+++ b/modules/serving/serving_metrics.cpp
@@ -0,0 +1,72 @@
+#include <mustardcourse/serving/serving_metrics.h>
+
+#include <prometheus/text_serializer.h>
+
+namespace mustardcourse::serving {
+
+namespace {
+
+prometheus::Counter &counter(prometheus::Registry &registry, const std::string &name,
+                             const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const std::string &name,
+                         const std::string &help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+serving_metrics::serving_metrics()
+    : m_requests(prometheus::BuildCounter()
+                     .Name("mustardcourse_requests_total")
+                     .Help("Requests of callers by outcome")
+                     .Register(m_registry))
+    , m_attempts(prometheus::BuildCounter()
+                     .Name("mustardcourse_attempts_total")
+                     .Help("Attempts at targets by how they ended")
+                     .Register(m_registry))
+    , m_latency(prometheus::BuildHistogram()
+                    .Name("mustardcourse_request_seconds")
+                    .Help("Time from the last byte of a request to its response")
+                    .Register(m_registry)
+                    .Add({}, prometheus::Histogram::BucketBoundaries{0.005, 0.01, 0.02, 0.03, 0.04,
+                                                                     0.06, 0.08, 0.12, 0.2, 0.4,
+                                                                     0.8, 1.6, 3.2}))
+    , hedges(counter(m_registry, "mustardcourse_hedges_total", "Second attempts beside a first"))
+    , retries(counter(m_registry, "mustardcourse_retries_total", "Attempts after a failed one"))
+    , budgetDenials(counter(m_registry, "mustardcourse_budget_denials_total",
+                            "Further attempts that the retry budget did not allow"))
+    , dials(counter(m_registry, "mustardcourse_dials_total", "New connections to targets"))
+    , storeCalls(counter(m_registry, "mustardcourse_store_calls_total", "Calls to the store"))
+    , storeFailures(counter(m_registry, "mustardcourse_store_failures_total",
+                            "Calls to the store that were refused or not answered"))
+    , logLinesDropped(counter(m_registry, "mustardcourse_log_lines_dropped_total",
+                              "Log lines left out to bound their volume"))
+    , configurationVersion(gauge(m_registry, "mustardcourse_configuration_version",
+                                 "Version of the configuration in force"))
+    , targets(gauge(m_registry, "mustardcourse_targets", "Targets known"))
+    , members(gauge(m_registry, "mustardcourse_members", "Hosts that share the limits"))
+    , requestsRunning(gauge(m_registry, "mustardcourse_requests_running", "Requests under way"))
+{ }
+
+std::string serving_metrics::render() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+void serving_metrics::countRequest(const std::string &outcome, duration latency)
+{
+    m_requests.Add({{"outcome", outcome}}).Increment();
+    m_latency.Observe(std::chrono::duration<double>(latency).count());
+}
+
+void serving_metrics::countAttempt(const std::string &end)
+{
+    m_attempts.Add({{"end", end}}).Increment();
+}
+
+} // namespace mustardcourse::serving
--- /dev/null
+++ b/modules/serving/target_directory.cpp
@@ -0,0 +1,256 @@
+#include <mustardcourse/serving/target_directory.h>
+
+#include <cmath>
+
+namespace mustardcourse::serving {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Weight of one observation in the averages; some ten calls show a change. */
+constexpr double observationWeight = 0.15;
+/** Time in which half of a target's slowness is forgotten, so that it is tried again. */
+constexpr std::chrono::duration<double> slownessHalfLife{2.0};
+/** Bounds of the slowness of one observation; one straggler must not outweigh all others. */
+constexpr double leastSlowness = 0.2;
+constexpr double mostSlowness = 12;
+/** Age up to which a reported load counts; the queue of a target changes within some requests. */
+constexpr milliseconds loadLifetime{150};
+/** First and longest time for which a failing target is avoided. */
+constexpr milliseconds firstAvoidance{100};
+constexpr milliseconds longestAvoidance{1600};
+/** Failures in a row after which a target is avoided; one may be chance. */
+constexpr std::size_t failuresToAvoid = 2;
+/** Latency that a certain failure is worth, in average latencies. */
+constexpr double failurePenalty = 10;
+/** Part of the average by which a request may be late before its target counts as stalled. */
+constexpr double stallFactor = 2.5;
+/** Time for which the order of a removed target's reports is remembered. */
+constexpr std::chrono::minutes goneLifetime{2};
+
+duration scaled(duration length, double factor)
+{
+    return std::chrono::duration_cast<duration>(length * factor);
+}
+
+} // namespace
+
+target::target(target_registration registration, time_point now)
+    : m_registration(std::move(registration))
+    , m_coldUntil(now + m_registration.coldFor)
+    , m_avoidedUntil(now)
+    , m_slownessAt(now)
+    , m_loadAt(now - loadLifetime)
+{ }
+
+void target::update(target_registration registration, time_point now)
+{
+    if (registration.order.startedAt != m_registration.order.startedAt) {
+        std::vector<time_point> sent = std::move(m_sentAt);
+        *this = target(std::move(registration), now);
+        m_sentAt = std::move(sent);
+        return;
+    }
+    m_coldUntil = now + registration.coldFor;
+    m_registration = std::move(registration);
+}
+
+void target::noteSent(time_point now)
+{
+    m_sentAt.push_back(now);
+}
+
+void target::noteEnd(target_evidence evidence, time_point sent, time_point now, duration expected)
+{
+    const auto found = std::find(m_sentAt.begin(), m_sentAt.end(), sent);
+    if (found != m_sentAt.end())
+        m_sentAt.erase(found);
+
+    const bool isFailure = evidence == target_evidence::Failure;
+    const bool isRefusal = evidence == target_evidence::Refused;
+    if (evidence != target_evidence::Cancelled) {
+        const double failed = isFailure || isRefusal ? 1 : 0;
+        m_failureShare += observationWeight * (failed - m_failureShare);
+    }
+    if (isFailure) {
+        ++m_failuresInRow;
+        if (m_failuresInRow >= failuresToAvoid) {
+            const auto doublings = std::min<std::size_t>(m_failuresInRow - failuresToAvoid, 4);
+            const milliseconds length = firstAvoidance * (1 << doublings);
+            m_avoidedUntil = now + std::min(length, longestAvoidance);
+        }
+        return;
+    }
+    if (isRefusal)
+        return;
+    const double took = std::chrono::duration<double>(now - sent).count();
+    const double usual = std::max(std::chrono::duration<double>(expected).count(), 1e-4);
+    const double observed = std::clamp(took / usual, leastSlowness, mostSlowness);
+    const double known = slowness(now);
+    if (evidence == target_evidence::Cancelled) {
+        // It took at least so long, so only a longer time than known is news.
+        m_slowness = observed > known ? known + observationWeight * (observed - known) : known;
+    } else {
+        m_slowness = known + observationWeight * (observed - known);
+        m_failuresInRow = 0;
+        m_avoidedUntil = now;
+    }
+    m_slownessAt = now;
+}
+
+void target::noteLoad(const reported_load &load, time_point now)
+{
+    m_load = load;
+    m_loadAt = now;
+}
+
+double target::slowness(time_point now) const
+{
+    const std::chrono::duration<double> age = now - m_slownessAt;
+    const double kept = std::exp2(-age / slownessHalfLife);
+    return 1 + (m_slowness - 1) * kept;
+}
+
+double target::occupancy(time_point now) const
+{
+    const double slots = static_cast<double>(std::max<std::size_t>(m_registration.slots, 1));
+    double busy = static_cast<double>(m_sentAt.size());
+    if (now - m_loadAt < loadLifetime) {
+        const auto reported = static_cast<double>(m_load.running + m_load.waiting);
+        busy = std::max(busy, reported);
+    }
+    return busy / slots;
+}
+
+duration target::expectedLatency(duration expected, time_point now) const
+{
+    const double load = occupancy(now);
+    const double wait = load < 1 ? 0.5 * load * load : load;
+    const double factor = slowness(now) * (1 + wait) + failurePenalty * m_failureShare;
+    const duration base = scaled(expected, factor);
+    if (m_sentAt.empty())
+        return base;
+    // A request that is far behind its time shows a stall before any response does.
+    const duration oldest = now - m_sentAt.front();
+    const bool isStalled = oldest > scaled(expected, stallFactor * slowness(now));
+    return isStalled ? base + oldest : base;
+}
+
+target_directory::target_directory(const clock &clock, placement_terms placement)
+    : m_clock(clock)
+    , m_placement(std::move(placement))
+{ }
+
+bool target_directory::update(target_registration registration)
+{
+    const auto gone = m_gone.find(registration.instance);
+    if (gone != m_gone.end()) {
+        if (registration.order < gone->second.order)
+            return false;
+        m_gone.erase(gone);
+    }
+    target *known = find(registration.instance);
+    if (known != nullptr) {
+        const target_registration &present = known->registration();
+        if (registration.order < present.order)
+            return false;
+        const bool isMoved = present.service != registration.service
+            || present.address != registration.address;
+        if (!isMoved) {
+            const bool isChanged = present.isLeaving != registration.isLeaving
+                || present.order.startedAt != registration.order.startedAt
+                || present.coldFor != registration.coldFor;
+            known->update(std::move(registration), m_clock.now());
+            return isChanged;
+        }
+        remove(registration.instance);
+        m_gone.erase(registration.instance);
+    }
+    const instance_id instance = registration.instance;
+    auto &ofService = m_byService[registration.service];
+    ofService.push_back(std::make_unique<target>(std::move(registration), m_clock.now()));
+    m_byInstance[instance] = ofService.back().get();
+    return true;
+}
+
+void target_directory::remove(const instance_id &instance)
+{
+    const auto found = m_byInstance.find(instance);
+    if (found == m_byInstance.end())
+        return;
+    const time_point now = m_clock.now();
+    std::erase_if(m_gone,
+                  [&](const auto &entry) { return now - entry.second.since > goneLifetime; });
+    const target_registration registration = found->second->registration();
+    m_gone[instance] = {registration.order, now};
+    m_byInstance.erase(found);
+    std::erase_if(m_byService[registration.service], [&](const auto &each) {
+        return each->registration().instance == registration.instance;
+    });
+}
+
+std::vector<instance_id> target_directory::retainOnly(const std::set<instance_id> &listed)
+{
+    std::vector<instance_id> removed;
+    for (const auto &[instance, known] : m_byInstance) {
+        if (!listed.contains(instance))
+            removed.push_back(instance);
+    }
+    for (const instance_id &instance : removed)
+        remove(instance);
+    return removed;
+}
+
+void target_directory::setEvacuated(std::set<data_centre_id> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+}
+
+bool target_directory::isUsable(const target &candidate) const
+{
+    const target_registration &registration = candidate.registration();
+    return !registration.isLeaving && !m_evacuated.contains(registration.dataCentre);
+}
+
+duration target_directory::costOf(const target &candidate, duration expected, time_point now) const
+{
+    const duration latency = candidate.expectedLatency(expected, now);
+    const bool isOwn = candidate.registration().dataCentre == m_placement.ownDataCentre;
+    return isOwn ? latency : latency + m_placement.otherDataCentrePenalty;
+}
+
+bool target_directory::isServed(const service_id &service) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end()
+        && std::any_of(found->second.begin(), found->second.end(),
+                       [&](const auto &each) { return isUsable(*each); });
+}
+
+std::size_t target_directory::slotsOf(const service_id &service) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return 0;
+    std::size_t slots = 0;
+    for (const auto &each : found->second)
+        slots += isUsable(*each) ? each->registration().slots : 0;
+    return slots;
+}
+
+target *target_directory::find(const instance_id &instance)
+{
+    const auto found = m_byInstance.find(instance);
+    return found == m_byInstance.end() ? nullptr : found->second;
+}
+
+std::vector<const target *> target_directory::all() const
+{
+    std::vector<const target *> targets;
+    for (const auto &[instance, known] : m_byInstance)
+        targets.push_back(known);
+    return targets;
+}
+
+} // namespace mustardcourse::serving
--- a/modules/settings/host_settings.cpp
+++ b/modules/settings/host_settings.cpp
@@ -1,6 +1,7 @@
 #include <mustardcourse/settings/host_settings.h>
 
-#include <array>
+#include "log_level_name.h"
+#include "section_rules.h"
 
 namespace mustardcourse::settings {
 
@@ -8,40 +9,6 @@
 
 using namespace std::chrono_literals;
 
-const ini_section &requireSection(const ini_document &document, std::string_view name)
-{
-    const ini_section *section = document.find(name);
-    if (section == nullptr)
-        throw settings_error(settings_fault::MissingSection,
-                             {document.fileName(), 0, std::string(name), ""},
-                             "the section is required");
-    return *section;
-}
-
-void refuseUnknownSections(const ini_document &document)
-{
-    static constexpr std::array<std::string_view, 6> known{"host",   "listen",    "platform",
-                                                           "limits", "intervals", "log"};
-    for (const ini_section &section : document.sections()) {
-        bool isKnown = false;
-        for (const std::string_view name : known)
-            isKnown = isKnown || name == section.name;
-        if (!isKnown)
-            throw settings_error(settings_fault::UnknownSection,
-                                 {document.fileName(), section.line, section.name, ""},
-                                 "no such section");
-    }
-}
-
-log_level levelFromName(const std::string &name)
-{
-    for (const log_level level : {log_level::Debug, log_level::Info, log_level::Warning}) {
-        if (name == nameOf(level))
-            return level;
-    }
-    return log_level::Error;
-}
-
 host_limits readLimits(const ini_document &document)
 {
     host_limits limits;
@@ -80,7 +47,8 @@
 
 host_settings host_settings::read(const ini_document &document)
 {
-    refuseUnknownSections(document);
+    refuseUnknownSections(document,
+                          {"host", "listen", "platform", "limits", "intervals", "log"});
     host_settings settings;
 
     section_reader host(document, requireSection(document, "host"));
@@ -102,12 +70,7 @@
     settings.hostList = platform.address("host_list");
     platform.finish();
 
-    if (const ini_section *section = document.find("log")) {
-        section_reader log(document, *section);
-        settings.logLevel =
-            levelFromName(log.choice("level", "info", {"debug", "info", "warning", "error"}));
-        log.finish();
-    }
+    settings.logLevel = readLogLevel(document);
     settings.limits = readLimits(document);
     settings.intervals = readIntervals(document);
     return settings;
--- a/modules/settings/ini_document.cpp
+++ b/modules/settings/ini_document.cpp
@@ -157,6 +157,9 @@
     ini_max_line = maximumLineBytes;
     ini_use_stack = true;
     ini_allow_multiline = false;
+    constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+    if (text.starts_with(byteOrderMark))
+        text.remove_prefix(byteOrderMark.size());
     line_source source{fileName, text, 0, {}};
     const int failedLine = ini_parse_stream(&nextLine, &source, &onEntry, &source);
     if (failedLine != 0) {
@@ -299,6 +302,22 @@
     return static_cast<double>(parsed.number) / wholePercent;
 }
 
+double section_reader::number(std::string_view key, double fallback, double least, double most)
+{
+    const ini_entry *entry = take(key);
+    if (entry == nullptr)
+        return fallback;
+    double value = 0;
+    const char *end = entry->value.data() + entry->value.size();
+    const auto parsed = std::from_chars(entry->value.data(), end, value);
+    if (parsed.ec != std::errc{} || parsed.ptr != end)
+        fail(settings_fault::BadValue, key, fmt::format("'{}' is not a number", entry->value));
+    if (!(value >= least && value <= most))
+        fail(settings_fault::OutOfRange, key,
+             fmt::format("{} is not from {} to {}", entry->value, least, most));
+    return value;
+}
+
 endpoint section_reader::address(std::string_view key)
 {
     const std::string value = text(key);
--- /dev/null
+++ b/modules/settings/log_level_name.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <mustardcourse/core/log.h>
+#include <mustardcourse/settings/ini_document.h>
+
+namespace mustardcourse::settings {
+
+/** Returns the level that the section [log] sets. @throws settings_error */
+log_level readLogLevel(const ini_document &document);
+
+} // namespace mustardcourse::settings
--- /dev/null
+++ b/modules/settings/section_rules.cpp
@@ -0,0 +1,28 @@
+#include "section_rules.h"
+
+#include <algorithm>
+
+namespace mustardcourse::settings {
+
+const ini_section &requireSection(const ini_document &document, std::string_view name)
+{
+    const ini_section *section = document.find(name);
+    if (section == nullptr)
+        throw settings_error(settings_fault::MissingSection,
+                             {document.fileName(), 0, std::string(name), ""},
+                             "the section is required");
+    return *section;
+}
+
+void refuseUnknownSections(const ini_document &document,
+                           std::initializer_list<std::string_view> known)
+{
+    for (const ini_section &section : document.sections()) {
+        if (std::find(known.begin(), known.end(), section.name) == known.end())
+            throw settings_error(settings_fault::UnknownSection,
+                                 {document.fileName(), section.line, section.name, ""},
+                                 "no such section");
+    }
+}
+
+} // namespace mustardcourse::settings
--- /dev/null
+++ b/modules/settings/serving_settings.cpp
@@ -0,0 +1,83 @@
+#include <mustardcourse/settings/serving_settings.h>
+
+#include "log_level_name.h"
+#include "section_rules.h"
+
+namespace mustardcourse::settings {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+void readListen(serving_settings &settings, const ini_document &document)
+{
+    section_reader listen(document, requireSection(document, "listen"));
+    settings.callerListen = listen.address("caller");
+    settings.readinessListen = listen.address("readiness");
+    settings.metricsListen = listen.address("metrics");
+    if (settings.callerListen == settings.readinessListen)
+        listen.fail(settings_fault::Inconsistent, "readiness",
+                    "the address is that of caller as well");
+    if (settings.metricsListen == settings.callerListen
+        || settings.metricsListen == settings.readinessListen)
+        listen.fail(settings_fault::Inconsistent, "metrics", "the address is used twice");
+    listen.finish();
+}
+
+void readRetries(serving_settings &settings, const ini_document &document)
+{
+    const ini_section *section = document.find("retries");
+    if (section == nullptr)
+        return;
+    section_reader retries(document, *section);
+    settings.retryRatio = retries.number("ratio", settings.retryRatio, 0, 1);
+    settings.retryExtra = retries.number("extra", settings.retryExtra, 0, 100'000);
+    retries.finish();
+}
+
+void readTimes(serving_settings &settings, const ini_document &document)
+{
+    const ini_section *section = document.find("times");
+    if (section == nullptr)
+        return;
+    section_reader times(document, *section);
+    settings.stopGrace = times.duration("stop_grace", settings.stopGrace, 1s, 10min);
+    settings.callerTravel = times.duration("caller_travel", settings.callerTravel, 0ms, 1s);
+    settings.otherDataCentrePenalty =
+        times.duration("other_data_centre_penalty", settings.otherDataCentrePenalty, 0ms, 10s);
+    settings.abandonedAttemptTime =
+        times.duration("abandoned_attempt", settings.abandonedAttemptTime, 0ms, 10s);
+    settings.retryAfter = times.duration("retry_after", settings.retryAfter, 1ms, 60s);
+    times.finish();
+}
+
+} // namespace
+
+bool serving_settings::isMeant(const ini_document &document)
+{
+    return document.find("store") != nullptr;
+}
+
+serving_settings serving_settings::read(const ini_document &document)
+{
+    refuseUnknownSections(document, {"host", "listen", "store", "retries", "times", "log"});
+    serving_settings settings;
+
+    section_reader host(document, requireSection(document, "host"));
+    settings.host = host_id(host.text("id"));
+    settings.dataCentre = data_centre_id(host.text("data_centre"));
+    host.finish();
+
+    readListen(settings, document);
+
+    section_reader store(document, requireSection(document, "store"));
+    settings.store = store.address("address");
+    store.finish();
+
+    settings.logLevel = readLogLevel(document);
+    readRetries(settings, document);
+    readTimes(settings, document);
+    return settings;
+}
+
+} // namespace mustardcourse::settings
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,7 +6,7 @@
     build-essential cmake ninja-build pkg-config ccache
     libwebsockets-dev libwebsockets-evlib-uv libuv1-dev
     libcapnp-dev capnproto prometheus-cpp-dev libabsl-dev libfmt-dev
-    nlohmann-json3-dev libinih-dev libxxhash-dev libgsl-dev
+    nlohmann-json3-dev libhttp-parser-dev libinih-dev libxxhash-dev libgsl-dev
     doctest-dev librapidcheck-dev
     clang-format-14 clang-tidy-14
 )
