--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -26,6 +26,8 @@
     std::vector<instance_id> tried;
     std::optional<target_answer> answer;
     shard_gap gap = shard_gap::Late;
+    /** Whether it waits for a target with room. */
+    bool isWaiting = false;
 };
 
 /** One request under way, from its arrival to its response. */
@@ -50,6 +52,8 @@
     time_point deadline;
     /** When second attempts are sent; never, if it is the greatest time. */
     time_point hedgeAt = time_point::max();
+    /** When shards that wait for a target with room are given up. */
+    time_point waitUntil = time_point::max();
     std::size_t hedgeCount = 0;
     std::size_t retryCount = 0;
     std::unique_ptr<net::timer> timer;
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -24,6 +24,12 @@
     duration abandonedAttemptTime = std::chrono::milliseconds(200);
     /** When to come back after a refusal. */
     duration retryAfter = std::chrono::milliseconds(100);
+    /** Part of a route's latency objective within which a target's answer is expected, or the
+        target has no room; the rest is for the way and for second attempts. */
+    double roomPart = 0.8;
+    /** Part of the objective for which a request waits for a target with room. A caller that is
+        refused within a quarter of its objective can still be served in time. */
+    double waitPart = 0.2;
     /** The longest idle time of a connection that carries a non-idempotent request: one that the
         target has dropped unnoticed would leave the result unknown. */
     duration longestIdleForOnce = std::chrono::seconds(1);
@@ -74,7 +80,14 @@
     [[nodiscard]] std::size_t runningCount() const noexcept { return m_queries.size(); }
 
 private:
-    enum class send_result { Sent, NoTarget, NoRoom };
+    /** The target for the next attempt of a shard, or why there is none. */
+    struct target_choice
+    {
+        target *chosen = nullptr;
+        /** Why there is none. */
+        shard_gap gap = shard_gap::None;
+        std::size_t connections = 1;
+    };
 
     /** Orders waiting requests: the most urgent first, then the earliest deadline. */
     using waiting_key = std::tuple<route_priority, time_point, query_number, std::size_t>;
@@ -84,9 +97,12 @@
     [[nodiscard]] scatter_terms termsFor(const http::caller_exchange &exchange,
                                          const caller_call &call, const route &matched,
                                          const route_statistics &statistics) const;
-    void sendFirst(query &asked, std::size_t shard);
-    send_result send(query &asked, std::size_t shard);
-    void transmit(query &asked, std::size_t shard, target &chosen, std::size_t connections);
+    void sendFirsts(query &asked);
+    [[nodiscard]] target_choice chooseFor(const query &asked, std::size_t shard);
+    bool send(query &asked, std::size_t shard);
+    void transmit(query &asked, std::size_t shard, const target_choice &choice);
+    void await(query &asked, std::size_t shard, time_point until);
+    void giveUpWaiting(query &asked);
     void onExchangeEnd(std::uint64_t number, http::exchange_result &&result);
     void noteEvidence(const attempt &ended, target_evidence evidence);
     void takeAnswer(const attempt &ended, attempt_end end, std::optional<target_answer> answer);
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -109,7 +109,10 @@
     const duration travel = m_settings.callerTravel;
     // A caller that connected for this request has waited for the handshake as well.
     const duration connecting = exchange.isFirstOfConnection() ? 2 * travel : duration::zero();
-    const duration age = travel + connecting + statistics.ageOf(deadline);
+    // A later try that cannot meet the objective any more is served as if it were the first.
+    const duration firstTry = statistics.ageOf(deadline);
+    const bool isLate = firstTry > matched.latencyObjective / 2;
+    const duration age = travel + connecting + (isLate ? duration::zero() : firstTry);
     const duration untilObjective = matched.latencyObjective - age - travel;
     const duration untilDeadline = deadline - 2 * travel;
     const duration limit = std::min<duration>(matched.timeout, untilDeadline);
@@ -151,60 +154,94 @@
         const service_id &service = asked.statistics->rotation.next(matched.services);
         asked.shards.push_back({service, {}, {}, shard_gap::Late});
     }
-    if (terms.isIdempotent && terms.maximumTargets > 1) {
-        const time_point now = m_environment.time.now();
+    const time_point now = m_environment.time.now();
+    if (terms.isIdempotent && terms.maximumTargets > 1)
         asked.hedgeAt = now + asked.statistics->hedgeDelay(terms.cutoff - now);
-    }
-    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard)
-        sendFirst(asked, shard);
+    sendFirsts(asked);
     settle(asked);
 }
 
 template <request_format Format>
-void query_service<Format>::sendFirst(query &asked, std::size_t shard)
+void query_service<Format>::sendFirsts(query &asked)
 {
-    query_shard &part = asked.shards[shard];
-    m_budgets.of(part.service).earn(1);
-    switch (send(asked, shard)) {
-    case send_result::Sent:
-        return;
-    case send_result::NoRoom:
-        part.gap = shard_gap::NoRoom;
-        m_waiting[part.service].emplace(asked.matched->priority, asked.progress.terms().end,
-                                        asked.number, shard);
-        return;
-    case send_result::NoTarget:
-        part.gap = shard_gap::NoTarget;
-        asked.progress.giveUp(shard);
-        return;
+    std::vector<target_choice> choices;
+    std::size_t withRoom = 0;
+    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
+        m_budgets.of(asked.shards[shard].service).earn(1);
+        choices.push_back(chooseFor(asked, shard));
+        withRoom += choices.back().chosen != nullptr ? 1 : 0;
+    }
+    // Work on the other shards would be wasted where too few can answer in time.
+    const bool isRefused =
+        asked.matched->asksAllShards() && withRoom < asked.progress.terms().leastAnswers;
+    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
+        const target_choice &choice = choices[shard];
+        query_shard &part = asked.shards[shard];
+        if (choice.chosen != nullptr && !isRefused) {
+            transmit(asked, shard, choice);
+            continue;
+        }
+        part.gap = choice.gap;
+        if (isRefused || choice.gap == shard_gap::NoTarget) {
+            asked.progress.giveUp(shard);
+            continue;
+        }
+        const duration objective = asked.matched->latencyObjective;
+        await(asked, shard,
+              m_environment.time.now()
+                  + std::chrono::duration_cast<duration>(m_settings.waitPart * objective));
     }
 }
 
 template <request_format Format>
-typename query_service<Format>::send_result query_service<Format>::send(query &asked,
-                                                                        std::size_t shard)
+void query_service<Format>::await(query &asked, std::size_t shard, time_point until)
 {
     query_shard &part = asked.shards[shard];
+    part.isWaiting = true;
+    asked.waitUntil = std::min(asked.waitUntil, until);
+    m_waiting[part.service].emplace(asked.matched->priority, asked.progress.terms().end,
+                                    asked.number, shard);
+}
+
+template <request_format Format>
+typename query_service<Format>::target_choice
+query_service<Format>::chooseFor(const query &asked, std::size_t shard)
+{
+    const query_shard &part = asked.shards[shard];
     const service_terms *terms = asked.inForce->findService(part.service);
     const std::size_t connections = terms == nullptr ? 1 : terms->maximumConnections;
+    const duration expected = asked.statistics->averageLatency();
+    const auto limit = std::chrono::duration_cast<duration>(
+        m_settings.roomPart * duration(asked.matched->latencyObjective));
+    const time_point now = m_environment.time.now();
     bool isAnyUsable = false;
     target *chosen = m_environment.directory.choose(
-        {part.service, asked.statistics->averageLatency(), part.tried},
-        [&](const target &candidate) {
+        {part.service, expected, part.tried}, [&](const target &candidate) {
             isAnyUsable = true;
-            return m_connections.hasRoom(candidate.registration(), connections);
+            return candidate.hasRoom(expected, limit, now)
+                && m_connections.hasRoom(candidate.registration(), connections);
         });
-    if (chosen == nullptr)
-        return isAnyUsable ? send_result::NoRoom : send_result::NoTarget;
-    transmit(asked, shard, *chosen, connections);
-    return send_result::Sent;
+    const shard_gap gap = isAnyUsable ? shard_gap::NoRoom : shard_gap::NoTarget;
+    return {chosen, chosen != nullptr ? shard_gap::None : gap, connections};
+}
+
+template <request_format Format>
+bool query_service<Format>::send(query &asked, std::size_t shard)
+{
+    const target_choice choice = chooseFor(asked, shard);
+    if (choice.chosen == nullptr) {
+        asked.shards[shard].gap = choice.gap;
+        return false;
+    }
+    transmit(asked, shard, choice);
+    return true;
 }
 
 template <request_format Format>
-void query_service<Format>::transmit(query &asked, std::size_t shard, target &chosen,
-                                     std::size_t connections)
+void query_service<Format>::transmit(query &asked, std::size_t shard, const target_choice &choice)
 {
     using namespace std::chrono_literals;
+    target &chosen = *choice.chosen;
     query_shard &part = asked.shards[shard];
     const time_point now = m_environment.time.now();
     const auto left = query_details::wholeMilliseconds(asked.deadline - now);
@@ -230,14 +267,35 @@
     sent.service = part.service;
     sent.instance = chosen.registration().instance;
     sent.sentAt = now;
-    sent.expected = asked.statistics->averageLatency();
+    sent.expected = std::chrono::duration_cast<duration>(asked.statistics->averageLatency()
+                                                         * chosen.crowding(now));
     sent.isIdempotent = isIdempotent;
     sent.statistics = asked.statistics;
     part.tried.push_back(sent.instance);
     part.gap = shard_gap::Late;
     chosen.noteSent(now);
     asked.progress.noteSent(shard);
-    sent.exchange = m_connections.send(chosen.registration(), connections, std::move(request));
+    sent.exchange =
+        m_connections.send(chosen.registration(), choice.connections, std::move(request));
+}
+
+template <request_format Format>
+void query_service<Format>::giveUpWaiting(query &asked)
+{
+    asked.waitUntil = time_point::max();
+    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
+        query_shard &part = asked.shards[shard];
+        if (!part.isWaiting)
+            continue;
+        part.isWaiting = false;
+        if (!part.tried.empty())
+            m_budgets.of(part.service).refund();
+        asked.progress.giveUp(shard);
+        const auto waiting = m_waiting.find(part.service);
+        if (waiting != m_waiting.end())
+            waiting->second.erase({asked.matched->priority, asked.progress.terms().end,
+                                   asked.number, shard});
+    }
 }
 
 template <request_format Format>
@@ -343,13 +401,15 @@
         asked.progress.giveUp(shard);
         return;
     }
-    if (send(asked, shard) == send_result::Sent) {
+    if (send(asked, shard)) {
         ++asked.retryCount;
         m_environment.metrics.retries.Increment();
         return;
     }
+    const time_point cutoff = asked.progress.terms().cutoff;
+    if (part.gap == shard_gap::NoRoom && m_environment.time.now() < cutoff)
+        return await(asked, shard, cutoff);
     budget.refund();
-    part.gap = shard_gap::NoTarget;
     asked.progress.giveUp(shard);
 }
 
@@ -367,7 +427,7 @@
             isAnyLeft = true;
             continue;
         }
-        if (send(asked, shard) != send_result::Sent) {
+        if (!send(asked, shard)) {
             budget.refund();
             isAnyLeft = true;
             continue;
@@ -393,7 +453,7 @@
 {
     const scatter_terms &terms = asked.progress.terms();
     const time_point now = m_environment.time.now();
-    time_point next = std::min(terms.end, asked.hedgeAt);
+    time_point next = std::min({terms.end, asked.hedgeAt, asked.waitUntil});
     if (terms.cutoff > now)
         next = std::min(next, terms.cutoff);
     if (next == asked.wakeAt)
@@ -410,6 +470,8 @@
         return;
     query &asked = *found->second;
     asked.wakeAt = time_point::max();
+    if (m_environment.time.now() >= asked.waitUntil)
+        giveUpWaiting(asked);
     const scatter_verdict verdict = asked.progress.verdict(m_environment.time.now());
     if (verdict == scatter_verdict::Wait && m_environment.time.now() >= asked.hedgeAt)
         hedge(asked);
@@ -560,13 +622,12 @@
         const auto asked = m_queries.find(number);
         if (asked != m_queries.end()) {
             query &waiter = *asked->second;
-            const send_result result = send(waiter, shard);
-            if (result == send_result::NoRoom)
+            const bool isSent = send(waiter, shard);
+            if (!isSent && waiter.shards[shard].gap == shard_gap::NoRoom)
                 return;
-            if (result == send_result::NoTarget) {
-                waiter.shards[shard].gap = shard_gap::NoTarget;
+            if (!isSent)
                 waiter.progress.giveUp(shard);
-            }
+            waiter.shards[shard].isWaiting = false;
             waiting.erase(waiting.begin());
             settle(waiter);
             continue;
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -80,7 +80,8 @@
         Notes the end of a request.
 
         @param sent      when it was sent
-        @param expected  latency that such a request has on average over all targets
+        @param expected  latency that such a request has on average over all targets, times the
+                         crowding of this one when it was sent
     */
     void noteEnd(target_evidence evidence, time_point sent, time_point now, duration expected);
 
@@ -90,11 +91,26 @@
     [[nodiscard]] time_point avoidedUntil() const noexcept { return m_avoidedUntil; }
     [[nodiscard]] bool isCold(time_point now) const noexcept { return now < m_coldUntil; }
     [[nodiscard]] std::size_t inFlight() const noexcept { return m_sentAt.size(); }
+    /** Returns the time it takes in units of what is usual; some time later it is forgotten. */
     [[nodiscard]] double slowness(time_point now) const;
 
+    /** Returns the part of recent requests that failed or were refused. */
+    [[nodiscard]] double failureShare() const noexcept { return m_failureShare; }
+
+    /** Returns the factor by which a request now takes longer for want of a free slot. */
+    [[nodiscard]] double crowding(time_point now) const;
+
     /** Returns how long a request would probably take, with the wait in the target's queue. */
     [[nodiscard]] duration expectedLatency(duration expected, time_point now) const;
 
+    /**
+        Returns whether one more request would probably end within a limit.
+
+        A target that this host knows to be idle always has room, as only a request shows whether
+        it has recovered.
+    */
+    [[nodiscard]] bool hasRoom(duration expected, duration limit, time_point now) const;
+
 private:
     [[nodiscard]] double occupancy(time_point now) const;
 
@@ -110,6 +126,7 @@
     time_point m_loadAt;
 };
 
+
 /** What one choice of a target has to respect. */
 struct choice_terms
 {
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -123,12 +123,15 @@
     return busy / slots;
 }
 
-duration target::expectedLatency(duration expected, time_point now) const
+double target::crowding(time_point now) const
 {
     const double load = occupancy(now);
-    const double wait = load < 1 ? 0.5 * load * load : load;
-    const double factor = slowness(now) * (1 + wait) + failurePenalty * m_failureShare;
-    const duration base = scaled(expected, factor);
+    return 1 + (load < 1 ? 0.5 * load * load : load - 0.5);
+}
+
+duration target::expectedLatency(duration expected, time_point now) const
+{
+    const duration base = scaled(expected, slowness(now) * crowding(now));
     if (m_sentAt.empty())
         return base;
     // A request that is far behind its time shows a stall before any response does.
@@ -137,6 +140,14 @@
     return isStalled ? base + oldest : base;
 }
 
+bool target::hasRoom(duration expected, duration limit, time_point now) const
+{
+    const bool isReported = now - m_loadAt < loadLifetime && m_load.running + m_load.waiting > 0;
+    if (m_sentAt.empty() && !isReported)
+        return true;
+    return expectedLatency(expected, now) <= limit;
+}
+
 target_directory::target_directory(const clock &clock, placement_terms placement)
     : m_clock(clock)
     , m_placement(std::move(placement))
@@ -215,7 +226,8 @@
 
 duration target_directory::costOf(const target &candidate, duration expected, time_point now) const
 {
-    const duration latency = candidate.expectedLatency(expected, now);
+    const duration latency = candidate.expectedLatency(expected, now)
+        + scaled(expected, failurePenalty * candidate.failureShare());
     const bool isOwn = candidate.registration().dataCentre == m_placement.ownDataCentre;
     return isOwn ? latency : latency + m_placement.otherDataCentrePenalty;
 }
