--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -2,8 +2,34 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+
 namespace mustardcourse::http {
 
+namespace {
+
+/** Returns whether a text is a token (RFC 9110, 5.6.2); the library lets spaces pass. */
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char character) {
+        const bool isLetter =
+            (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+        const bool isDigit = character >= '0' && character <= '9';
+        return isLetter || isDigit || marks.find(character) != std::string_view::npos;
+    });
+}
+
+/** Returns whether a text may be a field's value; a control character could end it early. */
+bool isFieldValue(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](unsigned char character) {
+        return (character < ' ' && character != '\t') || character == 0x7f;
+    });
+}
+
+} // namespace
+
 struct message_reader::implementation
 {
     implementation(direction readDirection, message_limits messageLimits);
@@ -96,6 +122,12 @@
 {
     areHeadersRead = true;
     isValueLast = true;
+    for (const header_field &field : headers) {
+        if (isToken(field.name) && isFieldValue(field.value))
+            continue;
+        state = read_state::Malformed;
+        return -1;
+    }
     const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
     if (hasLength && parser.content_length > limits.bodyBytes) {
         state = read_state::BodyTooLarge;
@@ -164,7 +196,8 @@
 std::size_t message_reader::feed(std::string_view data)
 {
     implementation &self = *m_implementation;
-    if (self.state != read_state::Empty && self.state != read_state::Partial)
+    // The library takes no bytes at all for the end of the stream.
+    if (data.empty() || (self.state != read_state::Empty && self.state != read_state::Partial))
         return 0;
     const std::size_t taken = http_parser_execute(&self.parser, &implementation::callbacks(),
                                                   data.data(), data.size());
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -14,7 +14,7 @@
 start() {
     local name=$1
     shift
-    "$@" > "$fleet_work/$name.out" 2> "$fleet_work/$name.log" &
+    "$@" > "$fleet_work/$name.log" 2>&1 &
     fleet_processes[$name]=$!
 }
 
--- /dev/null
+++ b/standins/lib/platform_target.cpp
@@ -0,0 +1,195 @@
+#include "platform_target.h"
+
+#include <mustardcourse/core/hash.h>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace mustardcourse::standins {
+
+namespace {
+
+std::string answer(int status, const std::string &id, const std::string &stamp,
+                   const std::string &extra, const std::string &body)
+{
+    return fmt::format("HTTP/1.1 {} Answer\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: {}\r\n"
+                       "X-Server-Load: 1,0,2\r\n{}\r\n{}",
+                       status, id, stamp, extra, body);
+}
+
+std::string lengthOf(const std::string &body)
+{
+    return fmt::format("Content-Length: {}\r\n", body.size());
+}
+
+} // namespace
+
+/** One connection of a host. It deletes itself when it ends. */
+class platform_target::connection final : private net::stream_handler
+{
+public:
+    connection(platform_target &owner, std::unique_ptr<net::stream> accepted)
+        : m_owner(owner)
+        , m_stream(std::move(accepted))
+        , m_reader(http::message_reader::direction::Requests, {})
+        , m_work(owner.m_loop, [this] { finishWork(); })
+    {
+        m_owner.m_connections.insert(this);
+        ++m_owner.m_dials;
+        m_stream->setHandler(*this);
+    }
+
+    ~connection() override
+    {
+        m_owner.m_connections.erase(this);
+        m_owner.m_running -= m_isRunning ? 1 : 0;
+    }
+    connection(const connection &) = delete;
+    connection &operator=(const connection &) = delete;
+
+private:
+    void onData(std::string_view data) override
+    {
+        while (!data.empty()) {
+            data.remove_prefix(m_reader.feed(data));
+            if (m_reader.state() != http::read_state::Complete)
+                return;
+            if (!take(m_reader.takeRequest()))
+                return;
+        }
+    }
+
+    void onEnd(net::stream_end) override { delete this; }
+
+    [[nodiscard]] std::string header(std::string_view name) const
+    {
+        return std::string(http::findHeader(m_request.headers, name).value_or(""));
+    }
+
+    /** Returns false if the connection is gone. */
+    bool take(http::request &&request)
+    {
+        m_request = std::move(request);
+        m_owner.m_lastRequest = m_request;
+        ++m_owner.m_arrivals;
+        if (m_owner.m_fault == target_fault::Closes) {
+            delete this;
+            return false;
+        }
+        if (header("X-Expected-Instance") != m_owner.m_settings.instance) {
+            m_stream->write(fmt::format("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {}\r\n"
+                                        "Content-Length: 0\r\n\r\n",
+                                        m_owner.m_settings.instance));
+            return true;
+        }
+        const bool isFull =
+            m_owner.m_running >= m_owner.m_settings.slots + m_owner.m_settings.queue;
+        if (m_owner.m_fault == target_fault::Shed || isFull) {
+            m_stream->write(answer(503, header("X-Attempt-Id"), "", "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
+            return true;
+        }
+        m_isRunning = true;
+        ++m_owner.m_running;
+        ++m_owner.m_runs;
+        ++m_owner.m_runsById[header("X-Attempt-Id")];
+        const std::size_t turns = 1 + (m_owner.m_running - 1) / m_owner.m_settings.slots;
+        m_work.start(m_owner.m_settings.workTime * turns);
+        return true;
+    }
+
+    void finishWork()
+    {
+        m_isRunning = false;
+        --m_owner.m_running;
+        const std::string id = header("X-Attempt-Id");
+        const std::string stamp = m_owner.m_settings.instance + "." + id;
+        const std::string body = m_owner.body();
+        const std::string half = body.substr(0, body.size() / 2);
+        switch (m_owner.m_fault) {
+        case target_fault::None:
+        case target_fault::Shed:
+        case target_fault::Closes:
+            return m_stream->write(answer(200, id, stamp, lengthOf(body), body));
+        case target_fault::Fails:
+            return m_stream->write(answer(500, id, stamp, lengthOf(half), half));
+        case target_fault::CutShort:
+            m_stream->write(answer(200, id, stamp, lengthOf(body), half));
+            delete this;
+            return;
+        case target_fault::Mute:
+            return;
+        case target_fault::Extra:
+            return m_stream->write(answer(200, id, stamp, lengthOf(body), body)
+                                   + answer(200, id, stamp, lengthOf(half), half));
+        case target_fault::UnframedCut:
+            m_stream->write(answer(200, id, stamp, "Connection: close\r\n", half));
+            return m_stream->finish();
+        case target_fault::Crossed:
+            return m_stream->write(answer(200, "another", "another.stamp", lengthOf(half), half)
+                                   + answer(200, id, stamp, lengthOf(body), body));
+        case target_fault::Garbage:
+            return m_stream->write("these bytes are no answer\r\n\r\n");
+        }
+    }
+
+    platform_target &m_owner;
+    std::unique_ptr<net::stream> m_stream;
+    http::message_reader m_reader;
+    http::request m_request;
+    bool m_isRunning = false;
+    net::timer m_work;
+};
+
+platform_target::platform_target(net::loop &loop, const clock &clock, const endpoint &address,
+                                 platform_target_settings settings)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_address(address)
+    , m_settings(std::move(settings))
+    , m_startedAt(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch())
+              .count()))
+    , m_listener(loop, address, [this](std::unique_ptr<net::stream> accepted) {
+        // The connection owns itself, and the target knows all of them.
+        new connection(*this, std::move(accepted)); // NOLINT
+    })
+{ }
+
+platform_target::~platform_target()
+{
+    while (!m_connections.empty())
+        delete *m_connections.begin();
+}
+
+std::string platform_target::registration(const std::string &dataCentre, std::string_view state,
+                                          std::uint64_t sequence) const
+{
+    const nlohmann::json document{{"Service", m_settings.service},
+                                  {"Address", m_address.toString()},
+                                  {"Zone", dataCentre},
+                                  {"ConfigVersion", "v1"},
+                                  {"MaxConcurrency", m_settings.slots},
+                                  {"State", state},
+                                  {"WarmupLeftMs", 0},
+                                  {"Sequence", sequence},
+                                  {"born", m_startedAt}};
+    return document.dump();
+}
+
+std::size_t platform_target::runsOf(const std::string &id) const
+{
+    const auto found = m_runsById.find(id);
+    return found == m_runsById.end() ? 0 : found->second;
+}
+
+std::string platform_target::body() const
+{
+    std::string records;
+    for (std::size_t i = 0; i < m_settings.records; ++i) {
+        const std::uint64_t seed = stableHash(m_settings.service, i);
+        records.append(fmt::format("{:016x}", seed));
+    }
+    return records;
+}
+
+} // namespace mustardcourse::standins
--- /dev/null
+++ b/tests/http_exchange_test.cpp
@@ -0,0 +1,233 @@
+#include "loop_fixture.h"
+
+#include <mustardcourse/http/caller_server.h>
+#include <mustardcourse/http/client_pool.h>
+
+#include <optional>
+
+using namespace mustardcourse;
+using namespace mustardcourse::http;
+using namespace std::chrono_literals;
+
+namespace {
+
+const endpoint address("127.0.0.1", 20931);
+
+/** A peer that answers each request with what a test says, byte by byte. */
+class scripted_peer
+{
+public:
+    scripted_peer(net::loop &loop, std::string answer, bool closesAfter)
+        : m_answer(std::move(answer))
+        , m_closesAfter(closesAfter)
+        , m_listener(loop, address, [this](std::unique_ptr<net::stream> accepted) {
+            ++m_accepted;
+            m_connections.push_back(std::make_unique<connection>(*this, std::move(accepted)));
+        })
+    { }
+
+    [[nodiscard]] std::size_t acceptedCount() const { return m_accepted; }
+
+private:
+    struct connection final : net::stream_handler
+    {
+        connection(scripted_peer &owner, std::unique_ptr<net::stream> accepted)
+            : peer(owner)
+            , stream(std::move(accepted))
+        {
+            stream->setHandler(*this);
+        }
+        void onData(std::string_view data) override
+        {
+            received.append(data);
+            if (received.find("\r\n\r\n") == std::string::npos)
+                return;
+            received.clear();
+            if (!peer.m_answer.empty())
+                stream->write(peer.m_answer);
+            if (peer.m_closesAfter)
+                stream->finish();
+        }
+        void onEnd(net::stream_end) override { }
+
+        scripted_peer &peer;
+        std::unique_ptr<net::stream> stream;
+        std::string received;
+    };
+
+    std::string m_answer;
+    bool m_closesAfter;
+    std::size_t m_accepted = 0;
+    std::vector<std::unique_ptr<connection>> m_connections;
+    net::listener m_listener;
+};
+
+exchange_request askFor(std::optional<exchange_result> &result)
+{
+    exchange_request request;
+    request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    request.isOwn = [](const response &answer) {
+        return findHeader(answer.headers, "Id").value_or("mine") == "mine";
+    };
+    request.onEnd = [&result](exchange_result &&ended) { result = std::move(ended); };
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("the end of an exchange, and whether its connection is used again")
+{
+    struct row
+    {
+        std::string name;
+        std::string answer;
+        bool closesAfter;
+        exchange_end expected;
+        bool isReused;
+    };
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    const std::string other = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx";
+    const row rows[] = {
+        {"whole", whole, false, exchange_end::Answered, true},
+        {"says close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", false,
+         exchange_end::Answered, false},
+        {"bytes behind it", whole + "HTTP/1.1 200 OK\r\n", false, exchange_end::Answered, false},
+        {"another's answer first", other + whole, false, exchange_end::Answered, false},
+        {"an interim answer first", "HTTP/1.1 100 Continue\r\n\r\n" + whole, false,
+         exchange_end::Answered, true},
+        {"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", true, exchange_end::Lost,
+         false},
+        {"no answer", "", true, exchange_end::Lost, false},
+        {"no HTTP", "hello there\r\n\r\n", false, exchange_end::Lost, false},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        tests::loop_fixture fixture;
+        const scripted_peer peer(fixture.loop, item.answer, item.closesAfter);
+        client_pool pool(fixture.loop, fixture.time, address, {.maximumConnections = 2});
+        std::optional<exchange_result> first;
+        pool.send(askFor(first));
+        fixture.runUntil([&] { return first.has_value(); });
+        CHECK(first->end == item.expected);
+        std::optional<exchange_result> second;
+        pool.send(askFor(second));
+        fixture.runUntil([&] { return second.has_value(); });
+        CHECK(peer.acceptedCount() == (item.isReused ? 1 : 2));
+    }
+}
+
+TEST_CASE("a peer that cannot be reached has seen nothing")
+{
+    tests::loop_fixture fixture;
+    client_pool pool(fixture.loop, fixture.time, address, {.maximumConnections = 1});
+    std::optional<exchange_result> result;
+    pool.send(askFor(result));
+    fixture.runUntil([&] { return result.has_value(); });
+    CHECK(result->end == exchange_end::NotSent);
+    CHECK(pool.openConnections() == 0);
+}
+
+TEST_CASE("a cancelled exchange tells no end and frees its connection")
+{
+    tests::loop_fixture fixture;
+    const scripted_peer peer(fixture.loop, "", false);
+    client_pool pool(fixture.loop, fixture.time, address, {.maximumConnections = 1});
+    std::optional<exchange_result> result;
+    const exchange_id exchange = pool.send(askFor(result));
+    fixture.runUntil([&] { return peer.acceptedCount() == 1; });
+    CHECK_FALSE(pool.hasRoom());
+    pool.cancel(exchange);
+    CHECK(pool.hasRoom());
+    fixture.runFor(20ms);
+    CHECK_FALSE(result.has_value());
+}
+
+TEST_CASE("an idle connection on which bytes arrive is not used again")
+{
+    tests::loop_fixture fixture;
+    const std::string late = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    const scripted_peer peer(fixture.loop, late + late, false);
+    client_pool pool(fixture.loop, fixture.time, address, {.maximumConnections = 1});
+    std::optional<exchange_result> result;
+    pool.send(askFor(result));
+    fixture.runUntil([&] { return result.has_value(); });
+    fixture.runFor(10ms);
+    CHECK(pool.openConnections() == 0);
+}
+
+TEST_CASE("what callers send is answered or refused with the right status")
+{
+    struct row
+    {
+        std::string name;
+        std::string sent;
+        std::string expected;
+        std::size_t handled;
+    };
+    const row rows[] = {
+        {"one request", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200", 1},
+        {"malformed", "GET /a HTTP/9.9.9\r\n\r\n", "HTTP/1.1 400", 0},
+        {"smuggled",
+         "POST /a HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b",
+         "HTTP/1.1 400", 0},
+        {"header too large", "GET /a HTTP/1.1\r\nA: " + std::string(2000, 'x') + "\r\n\r\n",
+         "HTTP/1.1 431", 0},
+        {"body too large", "POST /a HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413", 0},
+        {"too slow", "GET /a HTTP/1.1\r\nHost:", "HTTP/1.1 408", 0},
+        {"waits for leave to send", "POST /a HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n",
+         "HTTP/1.1 100", 0},
+    };
+    struct raw_caller final : net::stream_handler
+    {
+        void onData(std::string_view data) override { received.append(data); }
+        void onEnd(net::stream_end) override { isEnded = true; }
+        std::string received;
+        bool isEnded = false;
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        tests::loop_fixture fixture;
+        std::size_t handled = 0;
+        caller_server server(fixture.loop, fixture.time, address, [&](auto exchange) {
+            ++handled;
+            exchange->respond({200, "", {}, "ok"});
+        });
+        server.setLimits({.message = {1000, 1000}, .readTime = 60ms, .idleTime = 1s});
+        raw_caller caller;
+        const auto stream = net::stream::dial(fixture.loop, address, caller);
+        stream->write(item.sent);
+        fixture.runUntil([&] { return !caller.received.empty(); });
+        CHECK(caller.received.starts_with(item.expected));
+        CHECK(handled == item.handled);
+    }
+}
+
+TEST_CASE("a caller that leaves is noticed at once, and pipelined requests are answered in order")
+{
+    struct raw_caller final : net::stream_handler
+    {
+        void onData(std::string_view data) override { received.append(data); }
+        void onEnd(net::stream_end) override { }
+        std::string received;
+    };
+    tests::loop_fixture fixture;
+    std::unique_ptr<caller_exchange> held;
+    caller_server server(fixture.loop, fixture.time, address, [&](auto exchange) {
+        if (exchange->received().target == "/held")
+            held = std::move(exchange);
+        else
+            exchange->respond({200, "", {}, exchange->received().target});
+    });
+    raw_caller caller;
+    auto stream = net::stream::dial(fixture.loop, address, caller);
+    stream->write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /held HTTP/1.1\r\n\r\n");
+    fixture.runUntil([&] { return held != nullptr; });
+    fixture.runUntil([&] { return caller.received.find("/2") != std::string::npos; });
+    CHECK(caller.received.find("/1") < caller.received.find("/2"));
+    bool isGone = false;
+    held->onGone([&] { isGone = true; });
+    stream.reset();
+    fixture.runUntil([&] { return isGone; });
+    held->respond({200, "", {}, ""});
+    CHECK(server.pendingCount() == 0);
+}
