--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -61,8 +61,7 @@
 class client_pool
 {
 public:
-    client_pool(net::loop &loop, const clock &clock, endpoint peer,
-                client_pool_settings settings);
+    client_pool(net::loop &loop, const clock &clock, endpoint peer, client_pool_settings settings);
     ~client_pool();
     client_pool(const client_pool &) = delete;
     client_pool &operator=(const client_pool &) = delete;
--- a/include/mustardcourse/http/message.h
+++ b/include/mustardcourse/http/message.h
@@ -23,7 +23,8 @@
 /** Returns the value of the first field of that name, or nothing. */
 std::optional<std::string_view> findHeader(const header_fields &fields, std::string_view name);
 
-/** Returns whether a field belongs to one connection and must not be forwarded (RFC 9110, 7.6.1). */
+/** Returns whether a field belongs to one connection and must not be forwarded (RFC 9110, 7.6.1).
+ */
 bool isConnectionHeader(std::string_view name);
 
 /** Appends every field that may be forwarded, without those that `Connection` names. */
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -73,11 +73,11 @@
     const auto refuse = [&](refusal reason) {
         const http::reply answer = m_format.refuse(reason, m_settings.retryAfter);
         m_environment.metrics.countRequest("refused", duration::zero());
-        m_environment.log.limited("request-refused",
-                                  {{"target", exchange->received().target},
-                                   {"status", answer.status},
-                                   {"version", m_configuration ? m_configuration->version().value()
-                                                               : std::uint64_t{0}}});
+        m_environment.log.limited(
+            "request-refused",
+            {{"target", exchange->received().target},
+             {"status", answer.status},
+             {"version", m_configuration ? m_configuration->version().value() : std::uint64_t{0}}});
         exchange->respond(answer);
     };
     if (!m_configuration)
@@ -127,8 +127,8 @@
 }
 
 template <request_format Format>
-void query_service<Format>::start(std::unique_ptr<http::caller_exchange> exchange,
-                                  caller_call call, const route &matched)
+void query_service<Format>::start(std::unique_ptr<http::caller_exchange> exchange, caller_call call,
+                                  const route &matched)
 {
     auto statistics = statisticsOf(matched);
     const duration deadline = call.deadline.value_or(matched.timeout);
@@ -144,9 +144,8 @@
     asked.deadline = exchange->arrival() + deadline - 2 * m_settings.callerTravel;
     asked.exchange = std::move(exchange);
     asked.exchange->onGone([this, number] { abandon(number); });
-    asked.timer = std::make_unique<net::timer>(m_environment.loop, [this, number] {
-        onTimer(number);
-    });
+    asked.timer =
+        std::make_unique<net::timer>(m_environment.loop, [this, number] { onTimer(number); });
     if (matched.asksAllShards()) {
         for (const service_id &service : matched.shards)
             asked.shards.push_back({service, {}, {}, shard_gap::Late});
@@ -204,8 +203,8 @@
 }
 
 template <request_format Format>
-typename query_service<Format>::target_choice
-query_service<Format>::chooseFor(const query &asked, std::size_t shard)
+typename query_service<Format>::target_choice query_service<Format>::chooseFor(const query &asked,
+                                                                               std::size_t shard)
 {
     const query_shard &part = asked.shards[shard];
     const service_terms *terms = asked.inForce->findService(part.service);
@@ -293,8 +292,8 @@
         asked.progress.giveUp(shard);
         const auto waiting = m_waiting.find(part.service);
         if (waiting != m_waiting.end())
-            waiting->second.erase({asked.matched->priority, asked.progress.terms().end,
-                                   asked.number, shard});
+            waiting->second.erase(
+                {asked.matched->priority, asked.progress.terms().end, asked.number, shard});
     }
 }
 
--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -61,13 +61,27 @@
                                   std::vector<const target_answer *> &parts, std::size_t count,
                                   refusal reason, duration retryAfter)
 {
-    { format.readCall(received) } -> std::same_as<std::optional<caller_call>>;
-    { format.forward(call, instance, timeLeft) } -> std::same_as<std::string>;
-    { format.isOwn(call.id, response) } -> std::same_as<bool>;
-    { format.readAnswer(std::move(response)) } -> std::same_as<target_answer>;
-    { format.merged(parts, count, count) } -> std::same_as<http::reply>;
-    { format.single(std::move(response)) } -> std::same_as<http::reply>;
-    { format.refuse(reason, retryAfter) } -> std::same_as<http::reply>;
+    {
+        format.readCall(received)
+        } -> std::same_as<std::optional<caller_call>>;
+    {
+        format.forward(call, instance, timeLeft)
+        } -> std::same_as<std::string>;
+    {
+        format.isOwn(call.id, response)
+        } -> std::same_as<bool>;
+    {
+        format.readAnswer(std::move(response))
+        } -> std::same_as<target_answer>;
+    {
+        format.merged(parts, count, count)
+        } -> std::same_as<http::reply>;
+    {
+        format.single(std::move(response))
+        } -> std::same_as<http::reply>;
+    {
+        format.refuse(reason, retryAfter)
+        } -> std::same_as<http::reply>;
 };
 
 } // namespace mustardcourse::serving
--- a/include/mustardcourse/serving/route_statistics.h
+++ b/include/mustardcourse/serving/route_statistics.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <mustardcourse/serving/latency_histogram.h>
 #include <mustardcourse/serving/configuration.h>
+#include <mustardcourse/serving/latency_histogram.h>
 
 namespace mustardcourse::serving {
 
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -126,7 +126,6 @@
     time_point m_loadAt;
 };
 
-
 /** What one choice of a target has to respect. */
 struct choice_terms
 {
@@ -166,10 +165,7 @@
 
     /** Sets the data centres whose targets get no requests. */
     void setEvacuated(std::set<data_centre_id> dataCentres);
-    [[nodiscard]] const std::set<data_centre_id> &evacuated() const noexcept
-    {
-        return m_evacuated;
-    }
+    [[nodiscard]] const std::set<data_centre_id> &evacuated() const noexcept { return m_evacuated; }
 
     /**
         Returns the best target for a request, or null.
--- a/include/mustardcourse/store/lease_membership.h
+++ b/include/mustardcourse/store/lease_membership.h
@@ -42,8 +42,8 @@
 class lease_membership
 {
 public:
-    lease_membership(net::loop &loop, const logger &log, Store &store,
-                     membership_settings settings, std::function<void()> onTrouble)
+    lease_membership(net::loop &loop, const logger &log, Store &store, membership_settings settings,
+                     std::function<void()> onTrouble)
         : m_log(log)
         , m_store(store)
         , m_settings(std::move(settings))
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -46,8 +46,9 @@
     /** Keys that lapse while the store is away are written again by their owners within this time
         of its return; until then they count as present. */
     duration lapseGrace = std::chrono::milliseconds(2300);
-    /** How long one watch waits for a change. */
-    duration watchTime = std::chrono::seconds(10);
+    /** How long one watch waits for a change. A watch that the store has swallowed during an outage
+        shows only by its end, so this bounds how long a host may miss changes afterwards. */
+    duration watchTime = std::chrono::seconds(4);
     /** Pause between two watches, so that one answer tells of several changes: the store counts
         every call, and changes come in bursts. */
     duration watchPause = std::chrono::milliseconds(250);
@@ -112,8 +113,7 @@
 
 template <watchable_store Store>
 store_mirror<Store>::store_mirror(net::loop &loop, const clock &clock, const logger &log,
-                                  Store &store, mirror_listener &listener,
-                                  mirror_settings settings)
+                                  Store &store, mirror_listener &listener, mirror_settings settings)
     : m_loop(loop)
     , m_clock(clock)
     , m_log(log)
@@ -123,12 +123,12 @@
     , m_awayUntil(clock.now() - m_settings.lapseGrace)
     , m_nextRetry(m_settings.firstRetry)
     , m_callTimer(loop,
-                   [this] {
-                       if (m_isListingNeeded)
-                           list(0, "");
-                       else
-                           watch();
-                   })
+                  [this] {
+                      if (m_isListingNeeded)
+                          list(0, "");
+                      else
+                          watch();
+                  })
     , m_lapseTimer(loop, [this] { expireLapsed(); })
 { }
 
--- a/modules/core/log.cpp
+++ b/modules/core/log.cpp
@@ -3,9 +3,9 @@
 #include <fmt/chrono.h>
 
 #include <algorithm>
-#include <utility>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace mustardcourse {
 
--- a/modules/http/message.cpp
+++ b/modules/http/message.cpp
@@ -55,7 +55,7 @@
 bool isConnectionHeader(std::string_view name)
 {
     static constexpr std::array<std::string_view, 8> names{
-        "Connection", "Keep-Alive", "Proxy-Connection", "TE",
+        "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
         "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
     return std::any_of(names.begin(), names.end(),
                        [&](std::string_view known) { return isSameName(known, name); });
--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -199,15 +199,15 @@
     // The library takes no bytes at all for the end of the stream.
     if (data.empty() || (self.state != read_state::Empty && self.state != read_state::Partial))
         return 0;
-    const std::size_t taken = http_parser_execute(&self.parser, &implementation::callbacks(),
-                                                  data.data(), data.size());
+    const std::size_t taken =
+        http_parser_execute(&self.parser, &implementation::callbacks(), data.data(), data.size());
     if (self.state == read_state::Empty && taken > 0)
         self.state = read_state::Partial;
     const auto failure = static_cast<http_errno>(self.parser.http_errno);
     const bool isRunning = self.state == read_state::Empty || self.state == read_state::Partial;
     if (isRunning && (failure != HPE_OK || self.parser.upgrade != 0))
-        self.state = failure == HPE_HEADER_OVERFLOW ? read_state::HeaderTooLarge
-                                                    : read_state::Malformed;
+        self.state =
+            failure == HPE_HEADER_OVERFLOW ? read_state::HeaderTooLarge : read_state::Malformed;
     return taken;
 }
 
--- a/modules/net/loop.cpp
+++ b/modules/net/loop.cpp
@@ -92,9 +92,8 @@
 timer::~timer()
 {
     uv_timer_stop(&m_implementation->handle);
-    uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->handle), [](uv_handle_t *handle) {
-        delete static_cast<implementation *>(handle->data);
-    });
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->handle),
+             [](uv_handle_t *handle) { delete static_cast<implementation *>(handle->data); });
 }
 
 void timer::start(duration delay)
--- a/modules/serving/retry_budgets.cpp
+++ b/modules/serving/retry_budgets.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-/** Part of the shared bound that is spent, so that a moment of differing views does not break it. */
+/** Part of the shared bound that is spent, so that a moment of differing views does not break it.
+ */
 constexpr double spentPart = 0.8;
 /** Part of the reserve that a host has at its start; a restarted host has spent some before. */
 constexpr double initialPart = 0.25;
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -29,13 +29,14 @@
                      .Name("mustardcourse_attempts_total")
                      .Help("Attempts at targets by how they ended")
                      .Register(m_registry))
-    , m_latency(prometheus::BuildHistogram()
-                    .Name("mustardcourse_request_seconds")
-                    .Help("Time from the last byte of a request to its response")
-                    .Register(m_registry)
-                    .Add({}, prometheus::Histogram::BucketBoundaries{0.005, 0.01, 0.02, 0.03, 0.04,
-                                                                     0.06, 0.08, 0.12, 0.2, 0.4,
-                                                                     0.8, 1.6, 3.2}))
+    , m_latency(
+          prometheus::BuildHistogram()
+              .Name("mustardcourse_request_seconds")
+              .Help("Time from the last byte of a request to its response")
+              .Register(m_registry)
+              .Add({},
+                   prometheus::Histogram::BucketBoundaries{0.005, 0.01, 0.02, 0.03, 0.04, 0.06,
+                                                           0.08, 0.12, 0.2, 0.4, 0.8, 1.6, 3.2}))
     , hedges(counter(m_registry, "mustardcourse_hedges_total", "Second attempts beside a first"))
     , retries(counter(m_registry, "mustardcourse_retries_total", "Attempts after a failed one"))
     , budgetDenials(counter(m_registry, "mustardcourse_budget_denials_total",
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -166,8 +166,8 @@
         const target_registration &present = known->registration();
         if (registration.order < present.order)
             return false;
-        const bool isMoved = present.service != registration.service
-            || present.address != registration.address;
+        const bool isMoved =
+            present.service != registration.service || present.address != registration.address;
         if (!isMoved) {
             const bool isChanged = present.isLeaving != registration.isLeaving
                 || present.order.startedAt != registration.order.startedAt
--- a/modules/settings/host_settings.cpp
+++ b/modules/settings/host_settings.cpp
@@ -47,8 +47,7 @@
 
 host_settings host_settings::read(const ini_document &document)
 {
-    refuseUnknownSections(document,
-                          {"host", "listen", "platform", "limits", "intervals", "log"});
+    refuseUnknownSections(document, {"host", "listen", "platform", "limits", "intervals", "log"});
     host_settings settings;
 
     section_reader host(document, requireSection(document, "host"));
--- a/standins/lib/platform_store.cpp
+++ b/standins/lib/platform_store.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-
 std::string unescape(std::string_view text)
 {
     std::string plain;
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -85,7 +85,8 @@
         const bool isFull =
             m_owner.m_running >= m_owner.m_settings.slots + m_owner.m_settings.queue;
         if (m_owner.m_fault == target_fault::Shed || isFull) {
-            m_stream->write(answer(503, header("X-Attempt-Id"), "", "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
+            m_stream->write(answer(503, header("X-Attempt-Id"), "",
+                                   "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
             return true;
         }
         m_isRunning = true;
--- /dev/null
+++ b/tests/configuration_test.cpp
@@ -0,0 +1,124 @@
+#include "property.h"
+
+#include <mustardcourse/serving/configuration.h>
+#include <mustardcourse/serving/records.h>
+#include <mustardcourse/serving/route_statistics.h>
+
+#include <algorithm>
+
+using namespace mustardcourse;
+using namespace mustardcourse::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+route routeOf(const std::string &name, const std::string &hostName, const std::string &prefix)
+{
+    route made;
+    made.name = route_id(name);
+    made.hostName = hostName;
+    made.pathPrefix = prefix;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host that begins the path is the route")
+{
+    const configuration inForce(configuration_version(1),
+                                {routeOf("short", "one.example", "/a/"),
+                                 routeOf("long", "one.example", "/a/b/"),
+                                 routeOf("other", "two.example", "/a/b/")},
+                                {}, {});
+    struct row
+    {
+        std::string hostName;
+        std::string path;
+        std::string expected;
+    };
+    const row rows[] = {
+        {"one.example", "/a/x", "short"},      {"one.example", "/a/b/x", "long"},
+        {"ONE.example:8080", "/a/b/", "long"}, {"two.example", "/a/b/c/d", "other"},
+        {"two.example", "/a/", "none"},        {"three.example", "/a/", "none"},
+        {"one.example", "/a", "none"},         {"one.example", "/q?/a/b/", "none"},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.hostName);
+        CAPTURE(item.path);
+        const route *matched = inForce.match(item.hostName, item.path);
+        CHECK((matched == nullptr ? "none" : matched->name.value()) == item.expected);
+    }
+}
+
+TEST_CASE("requests are spread by weight, without long runs")
+{
+    CHECK_PROPERTY("rotation", [] {
+        const auto weights = *rc::gen::nonEmpty(
+            rc::gen::container<std::vector<std::uint8_t>>(rc::gen::inRange<std::uint8_t>(1, 20)));
+        std::vector<weighted_service> services;
+        double total = 0;
+        for (std::size_t i = 0; i < weights.size(); ++i) {
+            services.push_back({service_id(std::to_string(i)), double(weights[i])});
+            total += weights[i];
+        }
+        weighted_rotation rotation;
+        std::vector<double> counts(services.size());
+        constexpr int requests = 400;
+        for (int i = 0; i < requests; ++i)
+            ++counts[std::stoul(rotation.next(services).value())];
+        for (std::size_t i = 0; i < services.size(); ++i) {
+            const double share = requests * services[i].weight / total;
+            RC_ASSERT(std::abs(counts[i] - share) <= double(services.size()));
+        }
+    });
+}
+
+TEST_CASE("merged records are the greatest of all, falling, and equal ones all count")
+{
+    CHECK_PROPERTY("records", [](const std::vector<std::string> &bodies, std::uint8_t count) {
+        std::vector<std::string_view> views(bodies.begin(), bodies.end());
+        std::vector<std::string> expected;
+        for (const std::string &body : bodies) {
+            for (std::size_t at = 0; at + recordBytes <= body.size(); at += recordBytes)
+                expected.push_back(body.substr(at, recordBytes));
+        }
+        std::sort(expected.begin(), expected.end(), [](const auto &left, const auto &right) {
+            return std::lexicographical_compare(
+                right.begin(), right.end(), left.begin(), left.end(), [](char a, char b) {
+                    return static_cast<unsigned char>(a) < static_cast<unsigned char>(b);
+                });
+        });
+        std::string wanted;
+        for (std::size_t i = 0; i < std::min<std::size_t>(count, expected.size()); ++i)
+            wanted += expected[i];
+        RC_ASSERT(greatestRecords(views, count) == wanted);
+    });
+    const std::string low(recordBytes, '\x01');
+    const std::string high(recordBytes, '\xff');
+    CHECK(greatestRecords({low + high, high + "rest"}, 3) == high + high + low);
+}
+
+TEST_CASE("a second attempt is late enough to be rare and early enough to end in time")
+{
+    struct row
+    {
+        std::string name;
+        duration timeLeft;
+        duration least;
+        duration most;
+    };
+    const row rows[] = {
+        {"much time", 200ms, 9ms, 40ms},
+        {"little time", 16ms, 4ms, 12ms},
+        {"none", 0ms, 4ms, 12ms},
+    };
+    route_statistics statistics;
+    for (int i = 0; i < 500; ++i)
+        statistics.recordAttempt(i % 20 == 0 ? 100ms : 6ms);
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        const duration delay = statistics.hedgeDelay(item.timeLeft);
+        CHECK(delay >= item.least - 5ms);
+        CHECK(delay <= item.most);
+    }
+}
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -168,14 +168,16 @@
         {"one request", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200", 1},
         {"malformed", "GET /a HTTP/9.9.9\r\n\r\n", "HTTP/1.1 400", 0},
         {"smuggled",
-         "POST /a HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b",
+         "POST /a HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET "
+         "/b",
          "HTTP/1.1 400", 0},
         {"header too large", "GET /a HTTP/1.1\r\nA: " + std::string(2000, 'x') + "\r\n\r\n",
          "HTTP/1.1 431", 0},
         {"body too large", "POST /a HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413", 0},
         {"too slow", "GET /a HTTP/1.1\r\nHost:", "HTTP/1.1 408", 0},
-        {"waits for leave to send", "POST /a HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n",
-         "HTTP/1.1 100", 0},
+        {"waits for leave to send",
+         "POST /a HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n", "HTTP/1.1 100",
+         0},
     };
     struct raw_caller final : net::stream_handler
     {
--- a/tests/http_reader_test.cpp
+++ b/tests/http_reader_test.cpp
@@ -36,10 +36,13 @@
         {"no body", "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", read_state::Complete, ""},
         {"length", "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
          read_state::Complete, "abc"},
-        {"chunks", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+        {"chunks",
+         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
          read_state::Complete, "abc"},
         {"length and chunks",
-         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n0\r\n\r\n",
          read_state::Malformed, ""},
         {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
          read_state::Malformed, ""},
@@ -82,8 +85,8 @@
     const row rows[] = {
         {"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false, read_state::Complete,
          false, true},
-        {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false,
-         read_state::Complete, false, true},
+        {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+         false, read_state::Complete, false, true},
         {"close", "HTTP/1.1 200 OK\r\n\r\nab", true, read_state::Complete, true, false},
         {"close is awaited", "HTTP/1.1 200 OK\r\n\r\nab", false, read_state::Partial, false, false},
         {"ended early", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", true,
@@ -145,9 +148,9 @@
 
 TEST_CASE("headers of one connection are not forwarded")
 {
-    const header_fields fields{{"Host", "h"},          {"Connection", "close, X-Private"},
-                               {"X-Private", "1"},     {"Keep-Alive", "timeout=5"},
-                               {"X-Kept", "2"},        {"Transfer-Encoding", "chunked"},
+    const header_fields fields{{"Host", "h"},           {"Connection", "close, X-Private"},
+                               {"X-Private", "1"},      {"Keep-Alive", "timeout=5"},
+                               {"X-Kept", "2"},         {"Transfer-Encoding", "chunked"},
                                {"Content-Length", "3"}, {"Expect", "100-continue"}};
     std::string text;
     appendForwardable(text, fields);
--- a/tests/loop_fixture.h
+++ b/tests/loop_fixture.h
@@ -25,8 +25,7 @@
     }
 
     /** Runs the loop until a condition holds; fails the test if it does not within the limit. */
-    void runUntil(const std::function<bool()> &condition,
-                  duration limit = std::chrono::seconds(5))
+    void runUntil(const std::function<bool()> &condition, duration limit = std::chrono::seconds(5))
     {
         constexpr std::chrono::milliseconds step{2};
         const time_point end = std::chrono::steady_clock::now() + limit;
--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,205 @@
+#include "property.h"
+
+#include <documents.h>
+#include <wire_format.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace mustardcourse;
+using namespace mustardcourse::serving;
+using namespace mustardcourse::platform_adapter;
+using nlohmann::json;
+
+namespace {
+
+json registrationDocument()
+{
+    return {{"Service", "bids"},    {"Address", "10.0.0.1:80"},
+            {"Zone", "riga"},       {"ConfigVersion", "v1"},
+            {"MaxConcurrency", 2},  {"State", "ready"},
+            {"WarmupLeftMs", 0},    {"Sequence", 4},
+            {"born", 1700000000000}};
+}
+
+json configurationDocument()
+{
+    const json all{{"Name", "all"},
+                   {"Host", "h"},
+                   {"PathPrefix", "/a/"},
+                   {"RouteType", "idempotent"},
+                   {"TimeoutMs", 250},
+                   {"TargetLatencyMs", 40},
+                   {"Priority", 2},
+                   {"MaxAttempts", 2},
+                   {"FanoutServices", {"s1", "s2"}},
+                   {"ResultCount", 5},
+                   {"MinShardShare", 0.75}};
+    const json split{
+        {"Name", "split"},
+        {"Host", "h"},
+        {"PathPrefix", "/b/"},
+        {"RouteType", "non_idempotent"},
+        {"TimeoutMs", 900},
+        {"TargetLatencyMs", 90},
+        {"Priority", 1},
+        {"MaxAttempts", 1},
+        {"TrafficSplit", {{{"Service", "s1"}, {"Weight", 3}}, {{"Service", "s2"}, {"Weight", 1}}}}};
+    return {
+        {"ConfigVersion", 7},
+        {"Routes", {all, split}},
+        {"Services",
+         {{{"Name", "s1"}, {"HealthPath", "/health"}, {"MaxConnections", 26}, {"WarmupPerS", 0.0}},
+          {{"Name", "s2"}, {"HealthPath", "/health"}, {"MaxConnections", 9}, {"WarmupPerS", 4.5}}}},
+        {"Limits",
+         {{"MaxHeaderBytes", 100},
+          {"MaxBodyBytes", 200},
+          {"HeaderTimeoutMs", 300},
+          {"IdleTimeoutMs", 400}}}};
+}
+
+} // namespace
+
+TEST_CASE("a configuration is read into what its fields hold")
+{
+    const configuration_pointer read = readConfiguration(configurationDocument().dump());
+    CHECK(read->version() == configuration_version(7));
+    const route *all = read->match("h", "/a/x");
+    REQUIRE(all != nullptr);
+    CHECK(all->asksAllShards());
+    CHECK(all->isIdempotent);
+    CHECK(all->shards.size() == 2);
+    CHECK(all->resultCount == 5);
+    CHECK(all->leastShardShare == 0.75);
+    CHECK(all->timeout == std::chrono::milliseconds(250));
+    CHECK(all->latencyObjective == std::chrono::milliseconds(40));
+    const route *split = read->match("h", "/b/");
+    REQUIRE(split != nullptr);
+    CHECK_FALSE(split->isIdempotent);
+    CHECK(split->services.front().weight == 3);
+    CHECK(read->findService(service_id("s2"))->maximumConnections == 9);
+    CHECK(read->findService(service_id("s2"))->coldRequestsPerSecond == 4.5);
+    CHECK(read->callers().bodyBytes == 200);
+    CHECK(read->callers().idleTimeout == std::chrono::milliseconds(400));
+}
+
+TEST_CASE("documents of other writers are refused, whatever is wrong with them")
+{
+    struct row
+    {
+        std::string name;
+        void (*spoil)(json &);
+    };
+    const row rows[] = {
+        {"no service", [](json &document) { document.erase("Service"); }},
+        {"service of another type", [](json &document) { document["Service"] = 5; }},
+        {"no address", [](json &document) { document.erase("Address"); }},
+        {"address is a name", [](json &document) { document["Address"] = "localhost:80"; }},
+        {"no data centre", [](json &document) { document.erase("Zone"); }},
+        {"unknown state", [](json &document) { document["State"] = "sleepy"; }},
+        {"slots are a text", [](json &document) { document["MaxConcurrency"] = "2"; }},
+        {"no count", [](json &document) { document.erase("Sequence"); }},
+        {"negative count", [](json &document) { document["Sequence"] = -1; }},
+        {"start is a text", [](json &document) { document["born"] = "today"; }},
+        {"start is a fraction", [](json &document) { document["born"] = 1.5; }},
+        {"cold time is a list", [](json &document) { document["WarmupLeftMs"] = json::array(); }},
+        {"not an object", [](json &document) { document = json::array(); }},
+    };
+    CHECK(readRegistration("i-1", registrationDocument().dump()).order.startedAt == 1700000000000);
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        json document = registrationDocument();
+        item.spoil(document);
+        CHECK_THROWS_AS(readRegistration("i-1", document.dump()), document_error);
+    }
+    CHECK_THROWS_AS(readRegistration("i-1", "\xff\xfe"), document_error);
+    CHECK_THROWS_AS(readConfiguration("{}"), document_error);
+    CHECK_THROWS_AS(readConfiguration("{\"ConfigVersion\":1,\"Routes\":[1],\"Services\":[]}"),
+                    document_error);
+}
+
+TEST_CASE("no bytes make a document reader fail in another way than by its error")
+{
+    CHECK_PROPERTY("documents", [](const std::string &bytes, std::uint16_t at) {
+        for (std::string text :
+             {registrationDocument().dump(), configurationDocument().dump(), bytes}) {
+            if (!text.empty())
+                text.replace(at % text.size(), bytes.size() % 7, bytes.substr(0, 5));
+            try {
+                readRegistration("i-1", text);
+            } catch (const document_error &) { }
+            try {
+                readConfiguration(text);
+            } catch (const document_error &) { }
+        }
+    });
+}
+
+TEST_CASE("a request is forwarded as it came, with the target and the time that is left")
+{
+    http::request received;
+    received.method = "POST";
+    received.target = "/a/x?q=1";
+    received.headers = {{"Host", "h"},
+                        {"X-Attempt-Id", "id1"},
+                        {"X-Time-Budget-Ms", "400"},
+                        {"X-Expected-Instance", "forged"},
+                        {"Connection", "keep-alive"},
+                        {"A", "b"}};
+    received.body = "body";
+    const wire_format format;
+    const auto call = format.readCall(received);
+    REQUIRE(call.has_value());
+    CHECK(call->deadline == std::chrono::milliseconds(400));
+    CHECK(format.forward(*call, instance_id("i-1"), std::chrono::milliseconds(321))
+          == "POST /a/x?q=1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\nA: b\r\n"
+             "Content-Length: 4\r\nX-Time-Budget-Ms: 321\r\nX-Expected-Instance: i-1\r\n\r\nbody");
+    received.headers.erase(received.headers.begin() + 1);
+    CHECK_FALSE(format.readCall(received).has_value());
+}
+
+TEST_CASE("what a target's answer tells")
+{
+    struct row
+    {
+        std::string name;
+        int status;
+        http::header_fields headers;
+        attempt_end expected;
+    };
+    const http::header_field stamp{"X-Server-Stamp", "s"};
+    const http::header_field notRun{"X-Not-Executed", "1"};
+    const row rows[] = {
+        {"a success", 200, {stamp}, attempt_end::Answered},
+        {"a success without proof", 200, {}, attempt_end::Lost},
+        {"a refusal", 503, {notRun}, attempt_end::NotRun},
+        {"a refusal that may have run", 503, {}, attempt_end::Failed},
+        {"its time was over in the queue", 503, {notRun}, attempt_end::NotRun},
+        {"another instance", 421, {}, attempt_end::NotRun},
+        {"a failure", 500, {stamp}, attempt_end::Failed},
+        {"a time-out that ran", 504, {stamp}, attempt_end::Failed},
+    };
+    const wire_format format;
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        http::response response;
+        response.status = item.status;
+        response.headers = item.headers;
+        CHECK(format.readAnswer(std::move(response)).end == item.expected);
+    }
+}
+
+TEST_CASE("a merged answer names its parts and counts what is missing")
+{
+    const wire_format format;
+    target_answer first;
+    first.proof = "p1";
+    first.response.body = std::string(16, 'a') + std::string(16, 'c');
+    target_answer second;
+    second.proof = "p2";
+    second.response.body = std::string(16, 'b') + "rest";
+    const http::reply reply = format.merged({&first, &second}, 3, 2);
+    CHECK(reply.status == 200);
+    CHECK(http::findHeader(reply.headers, "X-Part-Stamps") == "p1, p2");
+    CHECK(http::findHeader(reply.headers, "X-Missing-Parts") == "3");
+    CHECK(reply.body == std::string(16, 'c') + std::string(16, 'b'));
+}
--- /dev/null
+++ b/tests/platform_host_test.cpp
@@ -0,0 +1,344 @@
+#include "loop_fixture.h"
+#include "platform_store.h"
+#include "platform_target.h"
+
+#include <mustardcourse/http/client_pool.h>
+
+#include <platform_host.h>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <optional>
+
+using namespace mustardcourse;
+using namespace std::chrono_literals;
+using standins::target_fault;
+
+namespace {
+
+constexpr std::uint16_t storePort = 20941;
+constexpr std::uint16_t callerPort = 20942;
+constexpr std::uint16_t firstTargetPort = 20960;
+
+settings::serving_settings hostSettings()
+{
+    settings::serving_settings made;
+    made.host = host_id("host-1");
+    made.dataCentre = data_centre_id("riga");
+    made.callerListen = endpoint("127.0.0.1", callerPort);
+    made.readinessListen = endpoint("127.0.0.1", callerPort + 1);
+    made.metricsListen = endpoint("127.0.0.1", callerPort + 2);
+    made.store = endpoint("127.0.0.1", storePort);
+    made.retryRatio = 0.5;
+    made.retryExtra = 100;
+    made.logLevel = log_level::Error;
+    return made;
+}
+
+/** One host, the store, and four targets: two shards of two targets each. */
+class platform_fixture : public tests::loop_fixture
+{
+public:
+    platform_fixture()
+    {
+        for (std::uint16_t i = 0; i < 4; ++i) {
+            const std::string service = i < 2 ? "s1" : "s2";
+            targets.push_back(std::make_unique<standins::platform_target>(
+                loop, time, endpoint("127.0.0.1", firstTargetPort + i),
+                standins::platform_target_settings{.instance = fmt::format("i-{}", i),
+                                                   .service = service}));
+            registerTarget(i, "ready", 1);
+        }
+        writeConfiguration(1);
+        host.emplace(loop, time, log, hostSettings(), "/nonexistent/settings.ini");
+        runUntil([&] { return get("/readiness", callerPort + 1).status == 200; });
+    }
+
+    void registerTarget(std::size_t index, std::string_view state, std::uint64_t sequence)
+    {
+        const std::string dataCentre = index % 2 == 0 ? "riga" : "jelgava";
+        store.put(fmt::format("servers/i-{}", index),
+                  targets[index]->registration(dataCentre, state, sequence));
+    }
+
+    void writeConfiguration(std::uint64_t version, const std::string &single = "s1")
+    {
+        using nlohmann::json;
+        const json all{{"Name", "all"},
+                       {"Host", "h"},
+                       {"PathPrefix", "/all/"},
+                       {"RouteType", "idempotent"},
+                       {"TimeoutMs", 1000},
+                       {"TargetLatencyMs", 150},
+                       {"Priority", 1},
+                       {"MaxAttempts", 2},
+                       {"FanoutServices", {"s1", "s2"}},
+                       {"ResultCount", 5},
+                       {"MinShardShare", 0.5}};
+        json one{{"Name", "one"},         {"Host", "h"},
+                 {"PathPrefix", "/one/"}, {"RouteType", "idempotent"},
+                 {"TimeoutMs", 1000},     {"TargetLatencyMs", 150},
+                 {"Priority", 1},         {"MaxAttempts", 2},
+                 {"Service", single}};
+        json once = one;
+        once["Name"] = "once";
+        once["PathPrefix"] = "/once/";
+        once["RouteType"] = "non_idempotent";
+        json services = json::array();
+        for (const char *name : {"s1", "s2"})
+            services.push_back({{"Name", name}, {"HealthPath", "/health"}, {"MaxConnections", 20}});
+        store.put(
+            "op/config",
+            json{{"ConfigVersion", version}, {"Routes", {all, one, once}}, {"Services", services}}
+                .dump());
+    }
+
+    void setFault(std::initializer_list<std::size_t> indices, target_fault fault)
+    {
+        for (const std::size_t index : indices)
+            targets[index]->setFault(fault);
+    }
+
+    http::response get(const std::string &path, std::uint16_t port = callerPort,
+                       const std::string &method = "GET", const std::string &id = "id-1")
+    {
+        http::client_pool pool(loop, time, endpoint("127.0.0.1", port), {.maximumConnections = 1});
+        std::optional<http::exchange_result> result;
+        http::exchange_request request;
+        request.bytes = fmt::format("{} {} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {}\r\n"
+                                    "X-Time-Budget-Ms: 800\r\nContent-Length: 0\r\n\r\n",
+                                    method, path, id);
+        request.onEnd = [&](http::exchange_result &&ended) { result = std::move(ended); };
+        pool.send(std::move(request));
+        runUntil([&] { return result.has_value(); });
+        return std::move(result->answer);
+    }
+
+    [[nodiscard]] std::size_t runs(const std::string &id = "id-1") const
+    {
+        std::size_t count = 0;
+        for (const auto &target : targets)
+            count += target->runsOf(id);
+        return count;
+    }
+
+    logger log{time, "test", log_level::Error};
+    standins::platform_store store{loop, time, endpoint("127.0.0.1", storePort)};
+    std::vector<std::unique_ptr<standins::platform_target>> targets;
+    std::optional<platform_adapter::platform_host> host;
+};
+
+std::string headerOf(const http::response &response, std::string_view name)
+{
+    return std::string(http::findHeader(response.headers, name).value_or("none"));
+}
+
+} // namespace
+
+TEST_CASE("a lookup over all shards says what it covers, whatever its targets do")
+{
+    struct row
+    {
+        std::string name;
+        std::initializer_list<std::size_t> targets;
+        target_fault fault;
+        int status;
+        std::string missing;
+    };
+    const row rows[] = {
+        {"all well", {}, target_fault::None, 200, "0"},
+        {"one target refuses", {0}, target_fault::Shed, 200, "0"},
+        {"one target closes", {0}, target_fault::Closes, 200, "0"},
+        {"one target is silent", {0}, target_fault::Mute, 200, "0"},
+        {"one target answers without a length", {0}, target_fault::UnframedCut, 200, "0"},
+        {"one target cuts its answers", {0}, target_fault::CutShort, 200, "0"},
+        {"one target answers twice", {0}, target_fault::Extra, 200, "0"},
+        {"a shard refuses", {0, 1}, target_fault::Shed, 200, "1"},
+        {"a shard fails", {0, 1}, target_fault::Fails, 200, "1"},
+        {"a shard is silent", {0, 1}, target_fault::Mute, 200, "1"},
+        {"a shard sends garbage", {2, 3}, target_fault::Garbage, 200, "1"},
+        {"a shard answers without a length", {2, 3}, target_fault::UnframedCut, 200, "1"},
+        {"all refuse", {0, 1, 2, 3}, target_fault::Shed, 503, "none"},
+        {"all fail", {0, 1, 2, 3}, target_fault::Fails, 502, "none"},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        f.setFault(item.targets, item.fault);
+        const http::response answer = f.get("/all/x");
+        CHECK(answer.status == item.status);
+        CHECK(headerOf(answer, "X-Missing-Parts") == item.missing);
+        CHECK((headerOf(answer, "Retry-After") != "none") == (item.status == 503));
+        if (item.status == 503)
+            CHECK(f.runs() == 0);
+    }
+}
+
+TEST_CASE("a request that must run once runs once at most, and refusals are true")
+{
+    struct row
+    {
+        std::string name;
+        target_fault fault;
+        int status;
+        std::size_t mostRuns;
+    };
+    const row rows[] = {
+        {"well", target_fault::None, 200, 1},
+        {"refused", target_fault::Shed, 503, 0},
+        {"failed", target_fault::Fails, 500, 1},
+        {"cut", target_fault::CutShort, 502, 1},
+        {"silent", target_fault::Mute, 504, 1},
+        {"another's answer first", target_fault::Crossed, 200, 1},
+        {"garbage", target_fault::Garbage, 502, 1},
+        {"closed", target_fault::Closes, 502, 0},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        f.setFault({0, 1, 2, 3}, item.fault);
+        const http::response answer = f.get("/once/x", callerPort, "POST");
+        CHECK(answer.status == item.status);
+        CHECK(f.runs() <= item.mostRuns);
+        if (item.status == 200) {
+            CHECK(answer.body == f.targets[0]->body());
+            CHECK(headerOf(answer, "X-Server-Stamp").ends_with("id-1"));
+        }
+    }
+}
+
+TEST_CASE("an answer whose end nothing tells is passed on without a length")
+{
+    platform_fixture f;
+    f.setFault({0, 1, 2, 3}, target_fault::UnframedCut);
+    const http::response answer = f.get("/once/x", callerPort, "POST");
+    CHECK(answer.status == 200);
+    CHECK(answer.isDelimitedByClose);
+}
+
+TEST_CASE("targets that leave, vanish, or whose data centre is evacuated get no new work")
+{
+    struct row
+    {
+        std::string name;
+        void (*change)(platform_fixture &);
+        int status;
+    };
+    const row rows[] = {
+        {"one leaves", [](platform_fixture &f) { f.registerTarget(0, "draining", 2); }, 200},
+        {"one vanishes", [](platform_fixture &f) { f.store.erase("servers/i-0"); }, 200},
+        {"evacuated", [](platform_fixture &f) { f.store.put("op/evacuate/riga", "{}"); }, 200},
+        {"both leave",
+         [](platform_fixture &f) {
+             f.registerTarget(0, "draining", 2);
+             f.registerTarget(1, "draining", 2);
+         },
+         503},
+        {"a forged entry takes its place",
+         [](platform_fixture &f) { f.store.put("servers/i-0", "{\"Service\":1}"); }, 200},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        f.runFor(2500ms); // Vanished keys count at once when the store has been well for this long.
+        CHECK(f.get("/one/x").status == 200);
+        item.change(f);
+        f.runFor(600ms);
+        const std::size_t before = f.targets[0]->arrivalCount();
+        for (int i = 0; i < 10; ++i)
+            CHECK(f.get("/one/x", callerPort, "GET", fmt::format("later-{}", i)).status
+                  == item.status);
+        CHECK(f.targets[0]->arrivalCount() == before);
+    }
+}
+
+TEST_CASE("an address that another target has taken over runs nothing")
+{
+    platform_fixture f;
+    f.targets[0].reset();
+    f.targets[0] = std::make_unique<standins::platform_target>(
+        f.loop, f.time, endpoint("127.0.0.1", firstTargetPort),
+        standins::platform_target_settings{.instance = "i-other", .service = "s9"});
+    CHECK(f.get("/one/x").status == 200);
+    CHECK(f.targets[0]->runCount() == 0);
+}
+
+TEST_CASE("configurations come into force, and older ones never return")
+{
+    platform_fixture f;
+    f.writeConfiguration(5, "s2");
+    f.runFor(400ms);
+    CHECK(f.get("/one/x").status == 200);
+    CHECK(f.targets[0]->runCount() + f.targets[1]->runCount() == 0);
+    f.writeConfiguration(4, "s1");
+    f.store.put("op/config", "not a configuration");
+    f.runFor(400ms);
+    CHECK(f.get("/one/y", callerPort, "GET", "id-2").status == 200);
+    CHECK(f.targets[0]->runCount() + f.targets[1]->runCount() == 0);
+    CHECK(f.get("/none/y").status == 404);
+}
+
+TEST_CASE("a host serves on while the store is away, and follows it when it is back")
+{
+    for (const standins::store_mode mode :
+         {standins::store_mode::Busy, standins::store_mode::Silent}) {
+        CAPTURE(static_cast<int>(mode));
+        platform_fixture f;
+        f.store.setMode(mode);
+        f.runFor(1500ms);
+        CHECK(f.get("/all/x").status == 200);
+        CHECK(f.get("/readiness", callerPort + 1).status == 200);
+        f.store.setMode(standins::store_mode::Serving);
+        f.store.forgetHistory();
+        f.writeConfiguration(9, "s2");
+        // The platform asks for a change in force 3 s after the store was well for 4 s.
+        const time_point bound = f.time.now() + 7s;
+        const auto served = [&] { return f.targets[2]->runCount() + f.targets[3]->runCount(); };
+        const std::size_t before = served();
+        std::size_t number = 0;
+        while (served() == before && f.time.now() < bound) {
+            f.runFor(100ms);
+            CHECK(f.get("/one/x", callerPort, "GET", fmt::format("id-{}", ++number)).status == 200);
+        }
+        CHECK(served() > before);
+        CHECK(f.store.keyCount("hosts/") == 1);
+    }
+}
+
+TEST_CASE("a caller that leaves cancels its work at the targets")
+{
+    platform_fixture f;
+    for (const auto &target : f.targets)
+        target->setWorkTime(2000ms);
+    struct silent_caller final : net::stream_handler
+    {
+        void onData(std::string_view) override { }
+        void onEnd(net::stream_end) override { }
+    } caller;
+    auto stream = net::stream::dial(f.loop, endpoint("127.0.0.1", callerPort), caller);
+    stream->write("GET /all/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: gone\r\n"
+                  "X-Time-Budget-Ms: 900\r\n\r\n");
+    const auto connections = [&] {
+        std::size_t count = 0;
+        for (const auto &target : f.targets)
+            count += target->connectionCount();
+        return count;
+    };
+    f.runUntil([&] { return f.runs("gone") >= 2; });
+    CHECK(connections() >= 2);
+    stream.reset();
+    f.runFor(400ms);
+    CHECK(connections() == 0);
+}
+
+TEST_CASE("metrics are served as text")
+{
+    platform_fixture f;
+    f.get("/all/x");
+    const http::response answer = f.get("/metrics", callerPort + 2);
+    CHECK(answer.body.find("mustardcourse_requests_total{outcome=\"answered\"} 1")
+          != std::string::npos);
+    CHECK(answer.body.find("mustardcourse_configuration_version 1") != std::string::npos);
+}
--- /dev/null
+++ b/tests/scatter_test.cpp
@@ -0,0 +1,135 @@
+#include "property.h"
+
+#include <mustardcourse/serving/scatter.h>
+
+using namespace mustardcourse;
+using namespace mustardcourse::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{1h};
+
+scatter_terms termsOf(std::size_t shards, double leastShare, std::size_t targets, bool isIdempotent)
+{
+    return {shards,       leastAnswersFor(leastShare, shards), targets, isIdempotent, start + 50ms,
+            start + 200ms};
+}
+
+} // namespace
+
+TEST_CASE("the least number of answers follows the least share exactly")
+{
+    struct row
+    {
+        double share;
+        std::size_t shards;
+        std::size_t expected;
+    };
+    const row rows[] = {{0.89, 10, 9}, {0.75, 10, 8},  {0.9, 10, 9},   {1, 10, 10},
+                        {0, 10, 1},    {0.95, 36, 35}, {0.85, 36, 31}, {0.89, 15, 14}};
+    for (const row &item : rows) {
+        CAPTURE(item.share);
+        CAPTURE(item.shards);
+        CHECK(leastAnswersFor(item.share, item.shards) == item.expected);
+    }
+}
+
+TEST_CASE("when a request is answered, waits, or fails")
+{
+    struct row
+    {
+        std::string name;
+        std::size_t answered;
+        std::size_t givenUp;
+        std::chrono::milliseconds at;
+        scatter_verdict expected;
+    };
+    const row rows[] = {
+        {"all in", 10, 0, 1ms, scatter_verdict::Answer},
+        {"one is open before the cutoff", 9, 0, 49ms, scatter_verdict::Wait},
+        {"one is open at the cutoff", 9, 0, 50ms, scatter_verdict::Answer},
+        {"too few at the cutoff", 8, 0, 50ms, scatter_verdict::Wait},
+        {"too few at the end", 8, 0, 200ms, scatter_verdict::Fail},
+        {"the last one is given up", 9, 1, 1ms, scatter_verdict::Answer},
+        {"it can no longer be enough", 0, 2, 1ms, scatter_verdict::Fail},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        scatter request(termsOf(10, 0.89, 2, true));
+        for (std::size_t shard = 0; shard < 10; ++shard)
+            request.noteSent(shard);
+        for (std::size_t shard = 0; shard < item.answered; ++shard)
+            request.noteEnd(shard, attempt_end::Answered);
+        for (std::size_t shard = item.answered; shard < item.answered + item.givenUp; ++shard) {
+            request.noteEnd(shard, attempt_end::Lost);
+            request.giveUp(shard);
+        }
+        CHECK(request.verdict(start + item.at) == item.expected);
+    }
+}
+
+TEST_CASE("whether a request may go to another target after an attempt ended")
+{
+    struct row
+    {
+        std::string name;
+        attempt_end end;
+        bool isIdempotent;
+        bool mayRetry;
+        bool mayHaveRun;
+    };
+    const row rows[] = {
+        {"failed, repeatable", attempt_end::Failed, true, true, true},
+        {"failed, once only", attempt_end::Failed, false, false, true},
+        {"lost, repeatable", attempt_end::Lost, true, true, true},
+        {"lost, once only", attempt_end::Lost, false, false, true},
+        {"not run, once only", attempt_end::NotRun, false, true, false},
+        {"not sent, once only", attempt_end::NotSent, false, true, false},
+        {"answered", attempt_end::Answered, true, false, true},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        scatter request(termsOf(1, 1, 2, item.isIdempotent));
+        request.noteSent(0);
+        CHECK(request.mayHedge(0) == item.isIdempotent);
+        request.noteEnd(0, item.end);
+        CHECK(request.mayRetry(0) == item.mayRetry);
+        CHECK(request.mayHaveRun() == item.mayHaveRun);
+    }
+}
+
+TEST_CASE("no sequence of events sends a request to too many targets or runs it twice")
+{
+    CHECK_PROPERTY("scatter", [](const std::vector<std::uint8_t> &events, bool isIdempotent) {
+        constexpr std::size_t targets = 2;
+        scatter request(termsOf(3, 0.5, targets, isIdempotent));
+        std::vector<std::size_t> running(3);
+        std::vector<std::size_t> reached(3);
+        std::vector<bool> mayHaveRun(3);
+        for (const std::uint8_t event : events) {
+            const std::size_t shard = event % 3;
+            const auto action = static_cast<std::size_t>(event / 3) % 7;
+            const bool isFirst = reached[shard] == 0 && running[shard] == 0;
+            if (action == 0 && (request.mayRetry(shard) || request.mayHedge(shard))) {
+                RC_ASSERT(isIdempotent || !mayHaveRun[shard]);
+                RC_ASSERT(isIdempotent || running[shard] == 0U);
+                RC_ASSERT(isFirst || reached[shard] < targets);
+                request.noteSent(shard);
+                ++running[shard];
+                ++reached[shard];
+            }
+            if (action >= 1 && action <= 5 && running[shard] > 0) {
+                const auto end = static_cast<attempt_end>(action - 1);
+                request.noteEnd(shard, end);
+                --running[shard];
+                reached[shard] -= end == attempt_end::NotSent ? 1 : 0;
+                const bool isRun = end != attempt_end::NotSent && end != attempt_end::NotRun;
+                mayHaveRun[shard] = mayHaveRun[shard] || isRun;
+            }
+        }
+        const bool isAnyRun = mayHaveRun[0] || mayHaveRun[1] || mayHaveRun[2];
+        // A refusal promises that nothing ran, so it needs this to be exact.
+        RC_ASSERT(!isAnyRun || request.mayHaveRun());
+    });
+}
--- /dev/null
+++ b/tests/target_directory_test.cpp
@@ -0,0 +1,224 @@
+#include "property.h"
+
+#include <mustardcourse/serving/retry_budgets.h>
+#include <mustardcourse/serving/target_directory.h>
+
+using namespace mustardcourse;
+using namespace mustardcourse::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+const service_id bids("bids");
+const data_centre_id riga("riga");
+const data_centre_id jelgava("jelgava");
+constexpr duration usual = 10ms;
+
+target_registration registered(const std::string &name, const data_centre_id &dataCentre = riga,
+                               report_order order = {1, 1})
+{
+    target_registration made;
+    made.instance = instance_id(name);
+    made.service = bids;
+    made.address = endpoint("127.0.0.1", 9000);
+    made.dataCentre = dataCentre;
+    made.slots = 2;
+    made.order = order;
+    return made;
+}
+
+struct fixture
+{
+    manual_clock time;
+    target_directory directory{time, {riga, 8ms}};
+
+    std::string chosen(const std::vector<instance_id> &tried = {})
+    {
+        const target *best =
+            directory.choose({bids, usual, tried}, [](const target &) { return true; });
+        return best == nullptr ? "none" : best->registration().instance.value();
+    }
+
+    void finish(const std::string &name, target_evidence evidence, duration took)
+    {
+        target *known = directory.find(instance_id(name));
+        const time_point sent = time.now();
+        known->noteSent(sent);
+        time.advance(took);
+        known->noteEnd(evidence, sent, time.now(), usual);
+    }
+};
+
+} // namespace
+
+TEST_CASE("which reports of a target count")
+{
+    struct row
+    {
+        std::string name;
+        report_order first;
+        report_order second;
+        bool isSecondTaken;
+    };
+    const row rows[] = {
+        {"a later count", {5, 1}, {5, 2}, true},
+        {"an earlier count, delivered late", {5, 7}, {5, 6}, false},
+        {"a new start counts anew", {5, 7}, {6, 1}, true},
+        {"an earlier start", {6, 1}, {5, 9}, false},
+    };
+    for (const row &item : rows) {
+        for (const bool isRemovedBetween : {false, true}) {
+            CAPTURE(item.name);
+            CAPTURE(isRemovedBetween);
+            fixture f;
+            f.directory.update(registered("a", riga, item.first));
+            if (isRemovedBetween)
+                f.directory.remove(instance_id("a"));
+            target_registration second = registered("a", riga, item.second);
+            second.isLeaving = true;
+            f.directory.update(second);
+            const target *known = f.directory.find(instance_id("a"));
+            CHECK((known != nullptr && known->registration().isLeaving) == item.isSecondTaken);
+        }
+    }
+}
+
+TEST_CASE("a target that leaves, is evacuated, was tried or is gone gets nothing")
+{
+    struct row
+    {
+        std::string name;
+        void (*change)(fixture &);
+        std::vector<instance_id> tried;
+        std::string expected;
+    };
+    const row rows[] = {
+        {"nothing", [](fixture &) {}, {}, "a"},
+        {"it leaves",
+         [](fixture &f) {
+             target_registration leaving = registered("a", riga, {1, 2});
+             leaving.isLeaving = true;
+             f.directory.update(leaving);
+         },
+         {},
+         "b"},
+        {"it is gone", [](fixture &f) { f.directory.remove(instance_id("a")); }, {}, "b"},
+        {"its data centre is evacuated",
+         [](fixture &f) { f.directory.setEvacuated({riga}); },
+         {},
+         "b"},
+        {"both are evacuated",
+         [](fixture &f) {
+             f.directory.setEvacuated({riga, jelgava});
+         },
+         {},
+         "none"},
+        {"it was tried", [](fixture &) {}, {instance_id("a")}, "b"},
+        {"a listing without it",
+         [](fixture &f) { f.directory.retainOnly({instance_id("b")}); },
+         {},
+         "b"},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        f.directory.update(registered("a", riga));
+        f.directory.update(registered("b", jelgava));
+        item.change(f);
+        CHECK(f.chosen(item.tried) == item.expected);
+    }
+}
+
+TEST_CASE("what a host learns from its own requests moves its choice, and is forgotten")
+{
+    struct row
+    {
+        std::string name;
+        target_evidence evidence;
+        duration took;
+        int times;
+        std::string expected;
+    };
+    const row rows[] = {
+        {"usual", target_evidence::Success, usual, 20, "a"},
+        {"slow", target_evidence::Success, 80ms, 20, "b"},
+        {"refuses", target_evidence::Refused, 1ms, 20, "b"},
+        {"fails", target_evidence::Failure, 1ms, 2, "b"},
+        {"failed once", target_evidence::Failure, 1ms, 1, "b"},
+        {"stalled before it was given up", target_evidence::Cancelled, 120ms, 20, "b"},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        f.directory.update(registered("a", riga));
+        f.directory.update(registered("b", jelgava));
+        for (int i = 0; i < item.times; ++i)
+            f.finish("a", item.evidence, item.took);
+        CHECK(f.chosen() == item.expected);
+        const bool isSlow = item.took > usual;
+        f.time.advance(30s);
+        if (isSlow)
+            CHECK(f.chosen() == "a");
+    }
+}
+
+TEST_CASE("a target has room while a request would end in time, and when it is idle")
+{
+    struct row
+    {
+        std::string name;
+        std::size_t inFlight;
+        reported_load load;
+        bool isSlow;
+        bool expected;
+    };
+    const row rows[] = {
+        {"idle", 0, {}, false, true},
+        {"some work", 2, {2, 0, 2}, false, true},
+        {"a long queue", 1, {2, 18, 2}, false, false},
+        {"idle and slow", 0, {}, true, true},
+        {"busy and slow", 2, {}, true, false},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        f.directory.update(registered("a"));
+        for (int i = 0; i < (item.isSlow ? 30 : 0); ++i)
+            f.finish("a", target_evidence::Success, 110ms);
+        target *known = f.directory.find(instance_id("a"));
+        for (std::size_t i = 0; i < item.inFlight; ++i)
+            known->noteSent(f.time.now());
+        if (item.load.running > 0)
+            known->noteLoad(item.load, f.time.now());
+        CHECK(known->hasRoom(usual, 64ms, f.time.now()) == item.expected);
+    }
+}
+
+TEST_CASE("the hosts' retries stay within the shared bound in every window")
+{
+    CHECK_PROPERTY("budgets", [](const std::vector<std::uint8_t> &events) {
+        constexpr std::size_t hosts = 7;
+        constexpr shared_retry_terms terms{0.2, 54};
+        std::vector<retry_budgets> budgets(hosts, retry_budgets(terms));
+        for (retry_budgets &each : budgets)
+            each.setMemberCount(hosts);
+        std::vector<int> requests;
+        std::vector<int> retries;
+        for (const std::uint8_t event : events) {
+            limits::retry_budget &budget = budgets[event % hosts].of(bids);
+            const bool isRequest = event % 3 != 0;
+            if (isRequest)
+                budget.earn(1);
+            requests.push_back(isRequest ? 1 : 0);
+            retries.push_back(!isRequest && budget.trySpend() ? 1 : 0);
+        }
+        // Any stretch of the events is a window, so the worst one is looked for.
+        double worst = 0;
+        double open = 0;
+        for (std::size_t i = 0; i < events.size(); ++i) {
+            open = std::max(0.0, open) + retries[i] - terms.ratio * requests[i];
+            worst = std::max(worst, open);
+        }
+        RC_ASSERT(worst <= terms.extra);
+    });
+}
