--- a/include/mustardcourse/http/caller_server.h
+++ b/include/mustardcourse/http/caller_server.h
@@ -56,7 +56,7 @@
     void onGone(std::function<void()> handler) { m_onGone = std::move(handler); }
 
     /** Sends the response, unless the caller has left. It is called at most once. */
-    void respond(reply answer);
+    void respond(const reply &answer);
 
 private:
     friend class caller_connection;
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -510,7 +510,7 @@
 {
     refusal reason = refusal::NotRun;
     const bool isAnswer = verdict == scatter_verdict::Answer;
-    http::reply answer = isAnswer ? answerOf(asked) : failureOf(asked, reason);
+    const http::reply answer = isAnswer ? answerOf(asked) : failureOf(asked, reason);
     const bool isWhole = asked.progress.answeredCount() == asked.shards.size();
     const std::string_view outcome = isAnswer ? (isWhole ? "answered" : "partial")
                                               : (reason == refusal::NotRun ? "refused" : "failed");
@@ -518,7 +518,7 @@
     const query_number number = asked.number;
     const auto exchange = std::move(asked.exchange);
     release(number);
-    exchange->respond(std::move(answer));
+    exchange->respond(answer);
 }
 
 template <request_format Format>
--- a/modules/http/caller_connection.h
+++ b/modules/http/caller_connection.h
@@ -14,7 +14,7 @@
     caller_connection &operator=(const caller_connection &) = delete;
 
     /** Sends the response of the exchange under way. */
-    void respond(reply answer);
+    void respond(const reply &answer);
 
     /** Notes that the exchange under way was given up without a response. */
     void abandon();
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -25,13 +25,13 @@
         m_connection->abandon();
 }
 
-void caller_exchange::respond(reply answer)
+void caller_exchange::respond(const reply &answer)
 {
     if (m_connection == nullptr)
         return;
     caller_connection *connection = m_connection;
     m_connection = nullptr;
-    connection->respond(std::move(answer));
+    connection->respond(answer);
 }
 
 caller_connection::caller_connection(caller_server &server, std::unique_ptr<net::stream> accepted)
@@ -145,7 +145,7 @@
     respond({status, "", {}, ""});
 }
 
-void caller_connection::respond(reply answer)
+void caller_connection::respond(const reply &answer)
 {
     m_exchange = nullptr;
     const bool keepsOpen = m_keepsOpen && !m_server.m_isClosing && answer.isLengthKnown;
--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -159,29 +159,29 @@
     static const http_parser_settings settings = [] {
         http_parser_settings made;
         http_parser_settings_init(&made);
-        made.on_message_begin = [](http_parser *parser) {
-            of(parser).state = read_state::Partial;
+        made.on_message_begin = [](http_parser *source) {
+            of(source).state = read_state::Partial;
             return 0;
         };
-        made.on_url = [](http_parser *parser, const char *data, std::size_t size) {
-            of(parser).target.append(data, size);
-            return of(parser).countHeader(size) ? 0 : 1;
+        made.on_url = [](http_parser *source, const char *data, std::size_t size) {
+            of(source).target.append(data, size);
+            return of(source).countHeader(size) ? 0 : 1;
         };
-        made.on_status = [](http_parser *parser, const char *data, std::size_t size) {
-            of(parser).reason.append(data, size);
-            return of(parser).countHeader(size) ? 0 : 1;
+        made.on_status = [](http_parser *source, const char *data, std::size_t size) {
+            of(source).reason.append(data, size);
+            return of(source).countHeader(size) ? 0 : 1;
         };
-        made.on_header_field = [](http_parser *parser, const char *data, std::size_t size) {
-            return of(parser).takeName({data, size});
+        made.on_header_field = [](http_parser *source, const char *data, std::size_t size) {
+            return of(source).takeName({data, size});
         };
-        made.on_header_value = [](http_parser *parser, const char *data, std::size_t size) {
-            return of(parser).takeValue({data, size});
+        made.on_header_value = [](http_parser *source, const char *data, std::size_t size) {
+            return of(source).takeValue({data, size});
         };
-        made.on_headers_complete = [](http_parser *parser) { return of(parser).endHeaders(); };
-        made.on_body = [](http_parser *parser, const char *data, std::size_t size) {
-            return of(parser).takeBody({data, size});
+        made.on_headers_complete = [](http_parser *source) { return of(source).endHeaders(); };
+        made.on_body = [](http_parser *source, const char *data, std::size_t size) {
+            return of(source).takeBody({data, size});
         };
-        made.on_message_complete = [](http_parser *parser) { return of(parser).complete(); };
+        made.on_message_complete = [](http_parser *source) { return of(source).complete(); };
         return made;
     }();
     return settings;
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -18,7 +18,7 @@
 diff -r "$generated" modules/wire/generated
 
 # The tests' macros are not written for the linter, so only the product's sources are checked.
-git ls-files 'modules/*.cpp' 'apps/*.cpp' 'standins/*.cpp' \
+git ls-files 'modules/*.cpp' 'platform/*.cpp' 'apps/*.cpp' 'standins/*.cpp' \
     | xargs -P "$(nproc)" -n 1 clang-tidy-14 --quiet -p "$directory" 2> "$generated/tidy.log" \
     || { grep -v 'warnings generated' "$generated/tidy.log" >&2; exit 1; }
 echo "style: formatted, linted and generated sources up to date"
