Requests at a starting host wait up to 100 ms; closing idle connections tried and reverted

Tried: closing connections idle for 1.5 s. Kept: early requests wait for the first listing; a passed-on failure is no longer read after it was moved (found by the linter).

--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -78,8 +78,8 @@
     /** Sets how many connections may be open from now on. */
     void setMaximumConnections(std::size_t count) noexcept;
 
-    /** Closes the connections that carry no exchange. */
-    void closeIdle();
+    /** Closes the connections that have carried no exchange for a time. */
+    void closeIdle(duration idleTime = duration::zero());
 
     [[nodiscard]] std::size_t openConnections() const noexcept;
     [[nodiscard]] std::size_t busyConnections() const noexcept;
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -30,6 +30,8 @@
     /** Part of the objective for which a request waits for a target with room. A caller that is
         refused within a quarter of its objective can still be served in time. */
     double waitPart = 0.2;
+    /** How long a request waits for a process that has just started to learn what it serves. */
+    duration openingTime = std::chrono::milliseconds(100);
     /** The longest idle time of a connection that carries a non-idempotent request: one that the
         target has dropped unnoticed would leave the result unknown. */
     duration longestIdleForOnce = std::chrono::seconds(1);
@@ -65,6 +67,9 @@
     void setConfiguration(configuration_pointer inForce) { m_configuration = std::move(inForce); }
     [[nodiscard]] const configuration_pointer &inForce() const noexcept { return m_configuration; }
 
+    /** Begins to serve; requests that came before are held for a short time until then. */
+    void open();
+
     /** Sets how many hosts share the limits. Precondition: at least one. */
     void setMemberCount(std::size_t count);
 
@@ -92,6 +97,8 @@
     /** Orders waiting requests: the most urgent first, then the earliest deadline. */
     using waiting_key = std::tuple<route_priority, time_point, query_number, std::size_t>;
 
+    void dispatch(std::unique_ptr<http::caller_exchange> exchange);
+    void releaseEarly();
     void start(std::unique_ptr<http::caller_exchange> exchange, caller_call call,
                const route &matched);
     [[nodiscard]] scatter_terms termsFor(const http::caller_exchange &exchange,
@@ -135,6 +142,10 @@
     std::uint64_t m_lastAttempt = 0;
     net::timer m_expiry;
     bool m_isExpiryRunning = false;
+    /** Requests that came before open(). */
+    std::vector<std::unique_ptr<http::caller_exchange>> m_early;
+    net::timer m_opening;
+    bool m_isOpen = false;
 };
 
 } // namespace mustardcourse::serving
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -50,8 +50,35 @@
     , m_budgets(retryTerms)
     , m_connections(environment.loop, environment.time, environment.metrics)
     , m_expiry(environment.loop, [this] { expireAttempts(); })
+    , m_opening(environment.loop, [this] { releaseEarly(); })
 { }
 
+template <request_format Format>
+void query_service<Format>::open()
+{
+    m_isOpen = true;
+    releaseEarly();
+}
+
+template <request_format Format>
+void query_service<Format>::releaseEarly()
+{
+    m_opening.stop();
+    auto early = std::exchange(m_early, {});
+    for (auto &exchange : early)
+        dispatch(std::move(exchange));
+}
+
+template <request_format Format>
+void query_service<Format>::serve(std::unique_ptr<http::caller_exchange> exchange)
+{
+    if (m_isOpen)
+        return dispatch(std::move(exchange));
+    if (m_early.empty())
+        m_opening.start(m_settings.openingTime);
+    m_early.push_back(std::move(exchange));
+}
+
 template <request_format Format>
 void query_service<Format>::setMemberCount(std::size_t count)
 {
@@ -68,7 +95,7 @@
 }
 
 template <request_format Format>
-void query_service<Format>::serve(std::unique_ptr<http::caller_exchange> exchange)
+void query_service<Format>::dispatch(std::unique_ptr<http::caller_exchange> exchange)
 {
     const auto refuse = [&](refusal reason) {
         const http::reply answer = m_format.refuse(reason, m_settings.retryAfter);
@@ -361,12 +388,11 @@
     query_shard &part = asked.shards[ended.shard];
     const bool isFirstAnswer = !asked.progress.isAnswered(ended.shard);
     asked.progress.noteEnd(ended.shard, end);
+    const bool isPassable = end == attempt_end::Failed || end == attempt_end::Lost;
     if (end == attempt_end::Answered && isFirstAnswer) {
         part.answer = std::move(answer);
         part.gap = shard_gap::None;
-    }
-    const bool isPassable = end == attempt_end::Failed || end == attempt_end::Lost;
-    if (isPassable && answer && !asked.matched->asksAllShards())
+    } else if (isPassable && answer && !asked.matched->asksAllShards())
         asked.failure = std::move(answer);
     if (end != attempt_end::Answered) {
         m_environment.log.limited("attempt-ended",
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -158,7 +158,9 @@
     noteTrouble();
     m_log.limited("store-call-failed", {{"call", call}, {"failure", nameOf(failure)}});
     m_callTimer.start(m_nextRetry);
-    m_nextRetry = std::min(2 * m_nextRetry, m_settings.longestRetry);
+    // Nothing can be served before the first listing, so it does not back off.
+    if (m_isComplete)
+        m_nextRetry = std::min(2 * m_nextRetry, m_settings.longestRetry);
 }
 
 template <watchable_store Store>
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -212,9 +212,12 @@
     m_settings.maximumConnections = count;
 }
 
-void client_pool::closeIdle()
+void client_pool::closeIdle(duration idleTime)
 {
-    std::erase_if(m_connections, [](const auto &each) { return each->isIdle(); });
+    const time_point now = m_clock.now();
+    std::erase_if(m_connections, [&](const auto &each) {
+        return each->isIdle() && now - each->idleSince() >= idleTime;
+    });
 }
 
 std::size_t client_pool::openConnections() const noexcept
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,5 +1,6 @@
 #include "property.h"
 
+#include <mustardcourse/membership/member_estimate.h>
 #include <mustardcourse/membership/member_table.h>
 
 #include <optional>
@@ -116,3 +117,35 @@
     CHECK(records.size() == 32);
     CHECK(records.front().host == host_id("a"));
 }
+
+TEST_CASE("shared limits are divided by the greatest number of hosts that was seen lately")
+{
+    using namespace std::chrono_literals;
+    struct row
+    {
+        std::string name;
+        std::vector<std::pair<std::chrono::seconds, std::size_t>> counts;
+        std::chrono::seconds at;
+        std::size_t expected;
+    };
+    const row rows[] = {
+        {"just started", {}, 0s, 8},
+        {"just started and alone", {{1s, 1}}, 2s, 8},
+        {"alone for long", {{1s, 1}}, 20s, 1},
+        {"some have lapsed", {{1s, 7}, {20s, 3}}, 21s, 7},
+        {"some have gone", {{1s, 7}, {20s, 3}}, 40s, 3},
+        {"more have come", {{1s, 7}, {20s, 9}}, 21s, 9},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        manual_clock time;
+        const time_point start = time.now();
+        membership::member_estimate estimate(time, 8, 7s);
+        for (const auto &[at, count] : item.counts) {
+            time.advance(start + at - time.now());
+            estimate.observe(count);
+        }
+        time.advance(start + item.at - time.now());
+        CHECK(estimate.value() == item.expected);
+    }
+}
