Requests wait for room before anything of them is sent

Change: such a request waits a fifth of its objective, a late try up to its objective, behind those that can still meet theirs; then it is refused as not run. A test plays an overload of one and of both shards on our stand-ins.

--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -104,7 +104,21 @@
     [[nodiscard]] scatter_terms termsFor(const http::caller_exchange &exchange,
                                          const caller_call &call, const route &matched,
                                          const route_statistics &statistics) const;
-    void sendFirsts(query &asked);
+    /** Returns whether a try comes so late that it cannot meet the objective of the first one. */
+    static bool isLate(duration firstTry, const route &matched);
+
+    /** Orders requests that wait to be sent: those that can meet their objective before late tries,
+        then the most urgent first, then the earliest end. */
+    using entering_key = std::tuple<bool, route_priority, time_point, query_number>;
+    [[nodiscard]] static entering_key keyOf(const query &asked)
+    {
+        return {asked.isLateTry, asked.matched->priority, asked.progress.terms().end, asked.number};
+    }
+
+    void enter(query &asked);
+    [[nodiscard]] duration waitFor(const query &asked) const;
+    bool admit(query &asked);
+    void admitEntering();
     [[nodiscard]] target_choice chooseFor(const query &asked, std::size_t shard);
     bool send(query &asked, std::size_t shard);
     void transmit(query &asked, std::size_t shard, const target_choice &choice);
@@ -138,6 +152,9 @@
     std::unordered_map<query_number, std::unique_ptr<query>> m_queries;
     std::unordered_map<std::uint64_t, attempt> m_attempts;
     std::map<service_id, std::set<waiting_key>> m_waiting;
+    /** Requests for which too few shards have room, the most urgent first; nothing of them has
+        been sent. */
+    std::set<entering_key> m_entering;
     query_number m_lastQuery = 0;
     std::uint64_t m_lastAttempt = 0;
     net::timer m_expiry;
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -127,6 +127,12 @@
     return known;
 }
 
+template <request_format Format>
+bool query_service<Format>::isLate(duration firstTry, const route &matched)
+{
+    return firstTry > matched.latencyObjective / 2;
+}
+
 template <request_format Format>
 scatter_terms query_service<Format>::termsFor(const http::caller_exchange &exchange,
                                               const caller_call &call, const route &matched,
@@ -138,8 +144,8 @@
     const duration connecting = exchange.isFirstOfConnection() ? 2 * travel : duration::zero();
     // A later try that cannot meet the objective any more is served as if it were the first.
     const duration firstTry = statistics.ageOf(deadline);
-    const bool isLate = firstTry > matched.latencyObjective / 2;
-    const duration age = travel + connecting + (isLate ? duration::zero() : firstTry);
+    const duration counted = isLate(firstTry, matched) ? duration::zero() : firstTry;
+    const duration age = travel + connecting + counted;
     const duration untilObjective = matched.latencyObjective - age - travel;
     const duration untilDeadline = deadline - 2 * travel;
     const duration limit = std::min<duration>(matched.timeout, untilDeadline);
@@ -161,6 +167,7 @@
     const duration deadline = call.deadline.value_or(matched.timeout);
     statistics->recordDeadline(deadline);
     const scatter_terms terms = termsFor(*exchange, call, matched, *statistics);
+    const bool isLateTry = isLate(statistics->ageOf(deadline), matched);
     const query_number number = ++m_lastQuery;
     auto created = std::make_unique<query>(number, std::move(call), terms);
     query &asked = *created;
@@ -168,6 +175,7 @@
     asked.inForce = m_configuration;
     asked.matched = &matched;
     asked.statistics = std::move(statistics);
+    asked.isLateTry = isLateTry;
     asked.deadline = exchange->arrival() + deadline - 2 * m_settings.callerTravel;
     asked.exchange = std::move(exchange);
     asked.exchange->onGone([this, number] { abandon(number); });
@@ -183,39 +191,78 @@
     const time_point now = m_environment.time.now();
     if (terms.isIdempotent && terms.maximumTargets > 1)
         asked.hedgeAt = now + asked.statistics->hedgeDelay(terms.cutoff - now);
-    sendFirsts(asked);
+    asked.enteredAt = now;
+    enter(asked);
     settle(asked);
 }
 
 template <request_format Format>
-void query_service<Format>::sendFirsts(query &asked)
+void query_service<Format>::enter(query &asked)
+{
+    for (const query_shard &part : asked.shards)
+        m_budgets.of(part.service).earn(1);
+    if (admit(asked))
+        return;
+    asked.waitUntil = m_environment.time.now() + waitFor(asked);
+    m_entering.insert(keyOf(asked));
+}
+
+template <request_format Format>
+duration query_service<Format>::waitFor(const query &asked) const
+{
+    const duration objective = asked.matched->latencyObjective;
+    if (!asked.isLateTry)
+        return std::chrono::duration_cast<duration>(m_settings.waitPart * objective);
+    // The caller will not come again, and it still waits.
+    const duration left = asked.progress.terms().end - m_environment.time.now();
+    return std::min(objective, left / 2);
+}
+
+template <request_format Format>
+bool query_service<Format>::admit(query &asked)
 {
     std::vector<target_choice> choices;
-    std::size_t withRoom = 0;
+    std::size_t answerable = 0;
     for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
-        m_budgets.of(asked.shards[shard].service).earn(1);
         choices.push_back(chooseFor(asked, shard));
-        withRoom += choices.back().chosen != nullptr ? 1 : 0;
+        answerable += choices.back().chosen != nullptr ? 1 : 0;
     }
     // Work on the other shards would be wasted where too few can answer in time.
-    const bool isRefused =
-        asked.matched->asksAllShards() && withRoom < asked.progress.terms().leastAnswers;
+    if (answerable < asked.progress.terms().leastAnswers)
+        return false;
     for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
         const target_choice &choice = choices[shard];
-        query_shard &part = asked.shards[shard];
-        if (choice.chosen != nullptr && !isRefused) {
+        if (choice.chosen != nullptr) {
             transmit(asked, shard, choice);
             continue;
         }
-        part.gap = choice.gap;
-        if (isRefused || choice.gap == shard_gap::NoTarget) {
+        asked.shards[shard].gap = choice.gap;
+        if (choice.gap == shard_gap::NoTarget)
             asked.progress.giveUp(shard);
+        else
+            await(asked, shard, m_environment.time.now() + waitFor(asked));
+    }
+    return true;
+}
+
+template <request_format Format>
+void query_service<Format>::admitEntering()
+{
+    while (!m_entering.empty()) {
+        const query_number number = std::get<query_number>(*m_entering.begin());
+        const auto found = m_queries.find(number);
+        if (found != m_queries.end()) {
+            query &asked = *found->second;
+            asked.waitUntil = time_point::max();
+            if (!admit(asked)) {
+                asked.waitUntil = asked.enteredAt + waitFor(asked);
+                return;
+            }
+            m_entering.erase(m_entering.begin());
+            settle(asked);
             continue;
         }
-        const duration objective = asked.matched->latencyObjective;
-        await(asked, shard,
-              m_environment.time.now()
-                  + std::chrono::duration_cast<duration>(m_settings.waitPart * objective));
+        m_entering.erase(m_entering.begin());
     }
 }
 
@@ -309,8 +356,11 @@
 void query_service<Format>::giveUpWaiting(query &asked)
 {
     asked.waitUntil = time_point::max();
+    const bool isEntering = m_entering.erase(keyOf(asked)) > 0;
     for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
         query_shard &part = asked.shards[shard];
+        if (isEntering)
+            asked.progress.giveUp(shard);
         if (!part.isWaiting)
             continue;
         part.isWaiting = false;
@@ -367,6 +417,7 @@
     }
     takeAnswer(ended, end, std::move(answer));
     wakeWaiting(ended.service);
+    admitEntering();
 }
 
 template <request_format Format>
@@ -633,6 +684,8 @@
         m_expiry.start(query_details::expiryInterval);
     for (const service_id &service : freed)
         wakeWaiting(service);
+    if (!freed.empty())
+        admitEntering();
 }
 
 template <request_format Format>
@@ -670,6 +723,7 @@
         services.push_back(service);
     for (const service_id &service : services)
         wakeWaiting(service);
+    admitEntering();
 }
 
 } // namespace mustardcourse::serving
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -342,3 +342,90 @@
           != std::string::npos);
     CHECK(answer.body.find("mustardcourse_configuration_version 1") != std::string::npos);
 }
+
+namespace {
+
+/** What one caller got under load. */
+struct caller_result
+{
+    int status = 0;
+    duration took{0};
+    std::string id;
+    std::string missing;
+};
+
+/** Sends lookups at a steady rate, each on a connection of its own, and returns what callers got.
+ */
+std::vector<caller_result> playLoad(platform_fixture &f, const std::string &path, std::size_t count,
+                                    duration interval)
+{
+    http::client_pool pool(f.loop, f.time, endpoint("127.0.0.1", callerPort),
+                           {.maximumConnections = 1000});
+    std::vector<caller_result> results;
+    std::size_t sent = 0;
+    net::timer next(f.loop, [] {});
+    const std::function<void()> sendOne = [&] {
+        const std::string id = fmt::format("{}-{}", path.substr(path.rfind('/') + 1), sent++);
+        const time_point began = f.time.now();
+        http::exchange_request request;
+        request.bytes = fmt::format("GET {} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {}\r\n"
+                                    "X-Time-Budget-Ms: 800\r\n\r\n",
+                                    path, id);
+        request.onEnd = [&, id, began](http::exchange_result &&ended) {
+            results.push_back({ended.answer.status, f.time.now() - began, id,
+                               headerOf(ended.answer, "X-Missing-Parts")});
+        };
+        pool.send(std::move(request));
+    };
+    while (sent < count) {
+        sendOne();
+        f.runFor(interval);
+    }
+    f.runUntil([&] { return results.size() == count; });
+    return results;
+}
+
+constexpr duration objective = 150ms;
+
+} // namespace
+
+TEST_CASE(
+    "a shard without room is left out in time; without enough shards callers are told at once")
+{
+    struct row
+    {
+        std::string name;
+        std::vector<std::size_t> slowTargets;
+        bool areAllAnswered;
+    };
+    // Two slow targets of two slots bear 26 requests a second, and 150 a second are sent.
+    const row rows[] = {
+        {"one of two shards is overloaded", {2, 3}, true},
+        {"both shards are overloaded", {0, 1, 2, 3}, false},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        for (const std::size_t index : item.slowTargets)
+            f.targets[index]->setWorkTime(150ms);
+        playLoad(f, "/all/warm", 60, 6ms);
+        const auto results = playLoad(f, "/all/x", 150, 6ms);
+        std::size_t inTime = 0;
+        for (const caller_result &each : results) {
+            CAPTURE(each.id);
+            CAPTURE(each.status);
+            const bool isAnswered = each.status == 200;
+            inTime += isAnswered && each.took <= objective ? 1 : 0;
+            if (item.areAllAnswered)
+                CHECK(isAnswered);
+            if (each.status == 503) {
+                // A caller that is told within a quarter of its objective can still be served in
+                // it.
+                CHECK(each.took <= objective / 4);
+                CHECK(f.runs(each.id) == 0);
+            }
+        }
+        if (item.areAllAnswered)
+            CHECK(inTime >= results.size() * 95 / 100);
+    }
+}
