Room judged by the usual latency, loads that fade, and probes of idle slow targets

The log of refusals (new event target-without-room) showed a usual latency of 33 ms where 7 ms were usual: the mean followed the slow targets. Besides, a load that a target reported blocked it for 150 ms, longer than the work it told of, and idle slow targets were asked by requests that they could only make late. The test of a target's room: an idle slow target had room always; it now has it when it was not asked for 300 ms, and the table checks both sides.

--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -135,6 +135,8 @@
     void finish(query &asked, scatter_verdict verdict);
     http::reply answerOf(query &asked) const;
     http::reply failureOf(query &asked, refusal &reason) const;
+    [[nodiscard]] duration roomLimit(const route &matched) const;
+    void explainRoom(const query &asked) const;
     void report(const query &asked, std::string_view outcome, int status) const;
     void abandon(query_number number);
     void release(query_number number);
@@ -162,6 +164,7 @@
     /** Requests that came before open(). */
     std::vector<std::unique_ptr<http::caller_exchange>> m_early;
     net::timer m_opening;
+    net::timer m_entry;
     bool m_isOpen = false;
 };
 
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds expiryInterval{40};
 /** Interval at which a second attempt is tried again that had no budget or no target. */
 constexpr std::chrono::milliseconds hedgeInterval{6};
+/** Interval at which waiting requests look for room again. */
+constexpr std::chrono::milliseconds entryInterval{4};
 /** Retries that second attempts leave to attempts that failed. */
 constexpr double budgetKeptForRetries = 1;
 /** One in this number of successes is logged. */
@@ -51,6 +53,7 @@
     , m_connections(environment.loop, environment.time, environment.metrics)
     , m_expiry(environment.loop, [this] { expireAttempts(); })
     , m_opening(environment.loop, [this] { releaseEarly(); })
+    , m_entry(environment.loop, [this] { admitEntering(); })
 { }
 
 template <request_format Format>
@@ -205,6 +208,7 @@
         return;
     asked.waitUntil = m_environment.time.now() + waitFor(asked);
     m_entering.insert(keyOf(asked));
+    m_entry.start(query_details::entryInterval);
 }
 
 template <request_format Format>
@@ -228,8 +232,11 @@
         answerable += choices.back().chosen != nullptr ? 1 : 0;
     }
     // Work on the other shards would be wasted where too few can answer in time.
-    if (answerable < asked.progress.terms().leastAnswers)
+    if (answerable < asked.progress.terms().leastAnswers) {
+        for (std::size_t shard = 0; shard < asked.shards.size(); ++shard)
+            asked.shards[shard].gap = choices[shard].gap;
         return false;
+    }
     for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
         const target_choice &choice = choices[shard];
         if (choice.chosen != nullptr) {
@@ -256,6 +263,8 @@
             asked.waitUntil = time_point::max();
             if (!admit(asked)) {
                 asked.waitUntil = asked.enteredAt + waitFor(asked);
+                // Targets also become free by what other hosts ask of them.
+                m_entry.start(query_details::entryInterval);
                 return;
             }
             m_entering.erase(m_entering.begin());
@@ -283,9 +292,8 @@
     const query_shard &part = asked.shards[shard];
     const service_terms *terms = asked.inForce->findService(part.service);
     const std::size_t connections = terms == nullptr ? 1 : terms->maximumConnections;
-    const duration expected = asked.statistics->averageLatency();
-    const auto limit = std::chrono::duration_cast<duration>(
-        m_settings.roomPart * duration(asked.matched->latencyObjective));
+    const duration expected = asked.statistics->usualLatency();
+    const duration limit = roomLimit(*asked.matched);
     const time_point now = m_environment.time.now();
     bool isAnyUsable = false;
     target *chosen = m_environment.directory.choose(
@@ -340,8 +348,9 @@
     sent.service = part.service;
     sent.instance = chosen.registration().instance;
     sent.sentAt = now;
-    sent.expected = std::chrono::duration_cast<duration>(asked.statistics->averageLatency()
-                                                         * chosen.crowding(now));
+    sent.expected = asked.statistics->usualLatency();
+    sent.expected =
+        std::chrono::duration_cast<duration>(sent.expected * chosen.crowding(sent.expected, now));
     sent.isIdempotent = isIdempotent;
     sent.statistics = asked.statistics;
     part.tried.push_back(sent.instance);
@@ -626,6 +635,44 @@
          {"retries", asked.retryCount},
          {"hedges", asked.hedgeCount},
          {"gaps", gaps}});
+    if (outcome == "refused")
+        explainRoom(asked);
+}
+
+template <request_format Format>
+void query_service<Format>::explainRoom(const query &asked) const
+{
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    const duration expected = asked.statistics->usualLatency();
+    const time_point now = m_environment.time.now();
+    for (const query_shard &part : asked.shards) {
+        if (part.gap != shard_gap::NoRoom)
+            continue;
+        for (const target *known : m_environment.directory.of(part.service)) {
+            m_environment.log.limited(
+                "target-without-room",
+                {{"id", asked.call.id.value()},
+                 {"service", part.service.value()},
+                 {"target", known->registration().instance.value()},
+                 {"expected_us",
+                  duration_cast<microseconds>(known->expectedLatency(expected, now)).count()},
+                 {"limit_us", duration_cast<microseconds>(roomLimit(*asked.matched)).count()},
+                 {"usual_us", duration_cast<microseconds>(expected).count()},
+                 {"slowness", known->slowness(now)},
+                 {"in_flight", known->inFlight()},
+                 {"evacuated",
+                  m_environment.directory.evacuated().contains(known->registration().dataCentre)},
+                 {"leaving", known->registration().isLeaving}});
+        }
+    }
+}
+
+template <request_format Format>
+duration query_service<Format>::roomLimit(const route &matched) const
+{
+    return std::chrono::duration_cast<duration>(m_settings.roomPart
+                                                * duration(matched.latencyObjective));
 }
 
 template <request_format Format>
--- a/include/mustardcourse/serving/route_statistics.h
+++ b/include/mustardcourse/serving/route_statistics.h
@@ -15,8 +15,8 @@
     /** Notes the time that a caller gives a request, to tell later tries from first ones. */
     void recordDeadline(duration deadline);
 
-    /** Returns the average latency of an attempt. */
-    [[nodiscard]] duration averageLatency() const noexcept { return m_average; }
+    /** Returns the median latency of an attempt, which a few slow targets do not move. */
+    [[nodiscard]] duration usualLatency() const noexcept { return m_usual; }
 
     /**
         Returns how long to wait for a first attempt before a second one runs beside it.
@@ -33,7 +33,8 @@
 
 private:
     latency_histogram m_attempts;
-    duration m_average = std::chrono::milliseconds(10);
+    duration m_usual = std::chrono::milliseconds(10);
+    std::size_t m_recordedSinceUpdate = 0;
     duration m_longestDeadline{0};
 };
 
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -98,7 +98,7 @@
     [[nodiscard]] double failureShare() const noexcept { return m_failureShare; }
 
     /** Returns the factor by which a request now takes longer for want of a free slot. */
-    [[nodiscard]] double crowding(time_point now) const;
+    [[nodiscard]] double crowding(duration expected, time_point now) const;
 
     /** Returns how long a request would probably take, with the wait in the target's queue. */
     [[nodiscard]] duration expectedLatency(duration expected, time_point now) const;
@@ -106,13 +106,13 @@
     /**
         Returns whether one more request would probably end within a limit.
 
-        A target that this host knows to be idle always has room, as only a request shows whether
-        it has recovered.
+        A target that this host has not asked for a while has room in any case, as only a request
+        shows whether it has recovered.
     */
     [[nodiscard]] bool hasRoom(duration expected, duration limit, time_point now) const;
 
 private:
-    [[nodiscard]] double occupancy(time_point now) const;
+    [[nodiscard]] double occupancy(duration expected, time_point now) const;
 
     target_registration m_registration;
     time_point m_coldUntil;
@@ -124,6 +124,7 @@
     time_point m_slownessAt;
     reported_load m_load;
     time_point m_loadAt;
+    time_point m_lastSent;
 };
 
 /** What one choice of a target has to respect. */
@@ -181,6 +182,9 @@
     /** Returns the slots of the targets of a service that may get requests. */
     [[nodiscard]] std::size_t slotsOf(const service_id &service) const;
 
+    /** Returns the targets of a service, those that may get no requests among them. */
+    [[nodiscard]] std::vector<const target *> of(const service_id &service) const;
+
     [[nodiscard]] target *find(const instance_id &instance);
     [[nodiscard]] std::vector<const target *> all() const;
 
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -15,8 +15,12 @@
 /** Bounds of the slowness of one observation; one straggler must not outweigh all others. */
 constexpr double leastSlowness = 0.2;
 constexpr double mostSlowness = 12;
-/** Age up to which a reported load counts; the queue of a target changes within some requests. */
-constexpr milliseconds loadLifetime{150};
+/** Bounds of the age up to which a reported load counts; it is about the time of one request, in
+    which the reported ones end. */
+constexpr milliseconds leastLoadLifetime{10};
+constexpr milliseconds mostLoadLifetime{150};
+/** Time after which an idle target that seemed too slow is tried again. */
+constexpr milliseconds probeInterval{300};
 /** First and longest time for which a failing target is avoided. */
 constexpr milliseconds firstAvoidance{100};
 constexpr milliseconds longestAvoidance{1600};
@@ -41,7 +45,8 @@
     , m_coldUntil(now + m_registration.coldFor)
     , m_avoidedUntil(now)
     , m_slownessAt(now)
-    , m_loadAt(now - loadLifetime)
+    , m_loadAt(now - mostLoadLifetime)
+    , m_lastSent(now - probeInterval)
 { }
 
 void target::update(target_registration registration, time_point now)
@@ -59,6 +64,7 @@
 void target::noteSent(time_point now)
 {
     m_sentAt.push_back(now);
+    m_lastSent = now;
 }
 
 void target::noteEnd(target_evidence evidence, time_point sent, time_point now, duration expected)
@@ -112,26 +118,30 @@
     return 1 + (m_slowness - 1) * kept;
 }
 
-double target::occupancy(time_point now) const
+double target::occupancy(duration expected, time_point now) const
 {
     const double slots = static_cast<double>(std::max<std::size_t>(m_registration.slots, 1));
-    double busy = static_cast<double>(m_sentAt.size());
-    if (now - m_loadAt < loadLifetime) {
-        const auto reported = static_cast<double>(m_load.running + m_load.waiting);
-        busy = std::max(busy, reported);
-    }
-    return busy / slots;
+    const auto own = static_cast<double>(m_sentAt.size());
+    const duration lifetime =
+        std::clamp<duration>(scaled(expected, slowness(now)), leastLoadLifetime, mostLoadLifetime);
+    const duration age = now - m_loadAt;
+    if (age >= lifetime)
+        return own / slots;
+    const double left =
+        1 - std::chrono::duration<double>(age) / std::chrono::duration<double>(lifetime);
+    const double reported = left * static_cast<double>(m_load.running + m_load.waiting);
+    return std::max(own, reported) / slots;
 }
 
-double target::crowding(time_point now) const
+double target::crowding(duration expected, time_point now) const
 {
-    const double load = occupancy(now);
+    const double load = occupancy(expected, now);
     return 1 + (load < 1 ? 0.5 * load * load : load - 0.5);
 }
 
 duration target::expectedLatency(duration expected, time_point now) const
 {
-    const duration base = scaled(expected, slowness(now) * crowding(now));
+    const duration base = scaled(expected, slowness(now) * crowding(expected, now));
     if (m_sentAt.empty())
         return base;
     // A request that is far behind its time shows a stall before any response does.
@@ -142,10 +152,8 @@
 
 bool target::hasRoom(duration expected, duration limit, time_point now) const
 {
-    const bool isReported = now - m_loadAt < loadLifetime && m_load.running + m_load.waiting > 0;
-    if (m_sentAt.empty() && !isReported)
-        return true;
-    return expectedLatency(expected, now) <= limit;
+    const bool isProbe = m_sentAt.empty() && now - m_lastSent >= probeInterval;
+    return isProbe || expectedLatency(expected, now) <= limit;
 }
 
 target_directory::target_directory(const clock &clock, placement_terms placement)
@@ -251,6 +259,17 @@
     return slots;
 }
 
+std::vector<const target *> target_directory::of(const service_id &service) const
+{
+    std::vector<const target *> targets;
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return targets;
+    for (const auto &each : found->second)
+        targets.push_back(each.get());
+    return targets;
+}
+
 target *target_directory::find(const instance_id &instance)
 {
     const auto found = m_byInstance.find(instance);
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -170,14 +170,16 @@
         std::size_t inFlight;
         reported_load load;
         bool isSlow;
+        duration pause;
         bool expected;
     };
     const row rows[] = {
-        {"idle", 0, {}, false, true},
-        {"some work", 2, {2, 0, 2}, false, true},
-        {"a long queue", 1, {2, 18, 2}, false, false},
-        {"idle and slow", 0, {}, true, true},
-        {"busy and slow", 2, {}, true, false},
+        {"idle", 0, {}, false, 0ms, true},
+        {"some work", 2, {2, 0, 2}, false, 0ms, true},
+        {"a long queue", 1, {2, 18, 2}, false, 0ms, false},
+        {"idle and slow, asked a moment ago", 0, {}, true, 0ms, false},
+        {"idle and slow, not asked for a while", 0, {}, true, 300ms, true},
+        {"busy and slow", 2, {}, true, 300ms, false},
     };
     for (const row &item : rows) {
         CAPTURE(item.name);
@@ -185,6 +187,7 @@
         f.directory.update(registered("a"));
         for (int i = 0; i < (item.isSlow ? 30 : 0); ++i)
             f.finish("a", target_evidence::Success, 110ms);
+        f.time.advance(item.pause);
         target *known = f.directory.find(instance_id("a"));
         for (std::size_t i = 0; i < item.inFlight; ++i)
             known->noteSent(f.time.now());
