Operators' view on the platform: state, explain, and a test of the real programs

Change: mustardctl state and explain; /status on the metrics address; one stand-in process for store and targets; a process test of lookups, SIGHUP, changed and bad settings files, evacuation, explanation and stop.

--- a/apps/mustardctl/commands.cpp
+++ b/apps/mustardctl/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "explain.h"
 #include "host_client.h"
 
 #include <mustardcourse/core/clock.h>
@@ -328,6 +329,13 @@
     std::function<int(const std::vector<std::string> &)> run;
 };
 
+int state(const std::vector<std::string> &)
+{
+    const host_answer answer = connect().get("/status");
+    fmt::print("{}\n", answer.body.dump(2));
+    return ExitOk;
+}
+
 int dataCentreOut(const std::vector<std::string> &words)
 {
     return setDataCentre(words, true);
@@ -349,6 +357,9 @@
         {"data-centre-in", 2, "NAME TEAM", "give a data centre work again", dataCentreIn},
         {"members", 0, "", "list the hosts of the tier as the host sees them", members},
         {"targets", 0, "", "list the targets that the host is the home of", targets},
+        {"state", 0, "",
+         "print what a host on the platform believes; --host is its metrics address", state},
+        {"explain", 2, "ID FILE...", "tell from log files what became of a request", explain},
         {"lookup", 2, "SERVICE QUERY", "search a service", lookup},
         {"request", 3, "SERVICE KEY BODY", "run a non-idempotent request at most once", request},
     };
@@ -380,7 +391,9 @@
     for (const command &known : commands()) {
         if (words[0] != known.name)
             continue;
-        if (words.size() != known.wordCount + 1)
+        const bool takesMore = std::string_view(known.arguments).ends_with("...");
+        const std::size_t given = words.size() - 1;
+        if (given < known.wordCount || (given > known.wordCount && !takesMore))
             throw usage_error(fmt::format("usage: mustardctl {} {}", known.name, known.arguments));
         return known.run({words.begin() + 1, words.end()});
     }
--- /dev/null
+++ b/apps/mustardctl/explain.cpp
@@ -0,0 +1,145 @@
+#include "explain.h"
+
+#include "commands.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <map>
+#include <set>
+
+namespace mustardcourse::control {
+
+namespace {
+
+/** Events that change what a host believes; the latest one before a request was in force for it. */
+constexpr std::array<std::string_view, 9> beliefEvents{
+    "started",  "configuration-in-force", "evacuations",       "members",          "store-lost",
+    "stopping", "store-regained",         "settings-reloaded", "membership-lapsed"};
+
+log_line parse(const std::string &text)
+{
+    log_line line;
+    line.text = text;
+    // Whatever writes the log may put its own columns in front of the line.
+    const auto level = text.find(" level=");
+    if (level == std::string::npos)
+        return line;
+    const auto begin = text.rfind(' ', level - 1);
+    line.time = text.substr(begin == std::string::npos ? 0 : begin + 1,
+                            level - (begin == std::string::npos ? 0 : begin + 1));
+    line.host = valueOf(text, "host");
+    line.event = valueOf(text, "event");
+    return line;
+}
+
+bool isBelief(const log_line &line)
+{
+    return std::find(beliefEvents.begin(), beliefEvents.end(), line.event) != beliefEvents.end();
+}
+
+bool isEarlier(const log_line &left, const log_line &right)
+{
+    return left.time < right.time;
+}
+
+/** Returns the latest line before a time for each key, in the order of time. */
+std::vector<log_line> latestBefore(const std::vector<log_line> &lines, const std::string &until,
+                                   const std::set<std::string> &hosts,
+                                   const std::set<std::string> &targets)
+{
+    std::map<std::string, log_line> latest;
+    for (const log_line &line : lines) {
+        if (line.time > until || !hosts.contains(line.host))
+            continue;
+        const std::string target = valueOf(line.text, "target");
+        const bool isTarget = line.event.starts_with("target-") && targets.contains(target);
+        if (isTarget || isBelief(line))
+            latest[line.host + line.event + target] = line;
+    }
+    std::vector<log_line> found;
+    for (const auto &[key, line] : latest)
+        found.push_back(line);
+    std::stable_sort(found.begin(), found.end(), isEarlier);
+    return found;
+}
+
+void print(std::string_view title, const std::vector<log_line> &lines)
+{
+    if (lines.empty())
+        return;
+    fmt::print("{}\n", title);
+    for (const log_line &line : lines)
+        fmt::print("  {}\n", line.text.substr(line.text.find(line.time)));
+}
+
+} // namespace
+
+std::string valueOf(std::string_view line, std::string_view key)
+{
+    const std::string wanted = fmt::format(" {}=", key);
+    const auto at = line.find(wanted);
+    if (at == std::string_view::npos)
+        return "";
+    std::string_view rest = line.substr(at + wanted.size());
+    if (!rest.starts_with('"'))
+        return std::string(rest.substr(0, rest.find(' ')));
+    rest.remove_prefix(1);
+    return std::string(rest.substr(0, rest.find('"')));
+}
+
+explanation explainRequest(std::string_view id, const std::vector<std::string> &lines)
+{
+    std::vector<log_line> parsed;
+    for (const std::string &text : lines)
+        parsed.push_back(parse(text));
+    std::stable_sort(parsed.begin(), parsed.end(), isEarlier);
+
+    explanation found;
+    std::set<std::string> hosts;
+    std::set<std::string> targets;
+    for (const log_line &line : parsed) {
+        if (valueOf(line.text, "id") != id)
+            continue;
+        found.own.push_back(line);
+        hosts.insert(line.host);
+        targets.insert(valueOf(line.text, "target"));
+    }
+    if (found.own.empty())
+        return found;
+    found.context = latestBefore(parsed, found.own.back().time, hosts, targets);
+    // The count of lines left out is told within a second of them.
+    constexpr std::size_t secondsLength = std::string_view("2026-01-01T00:00:00").size();
+    const std::string second = found.own.back().time.substr(0, secondsLength);
+    for (const log_line &line : parsed) {
+        if (line.event == "log-lines-left-out" && hosts.contains(line.host)
+            && line.time.substr(0, secondsLength) == second)
+            found.gaps.push_back(line);
+    }
+    return found;
+}
+
+int explain(const std::vector<std::string> &words)
+{
+    std::vector<std::string> lines;
+    for (auto file = words.begin() + 1; file != words.end(); ++file) {
+        std::ifstream input(*file);
+        if (!input)
+            throw host_error(fmt::format("{}: the file cannot be opened", *file));
+        for (std::string line; std::getline(input, line);)
+            lines.push_back(line);
+    }
+    const explanation found = explainRequest(words[0], lines);
+    if (found.own.empty()) {
+        fmt::print("no line of request {}; of answered requests one in 64 is logged\n", words[0]);
+        return ExitFailed;
+    }
+    print("the request:", found.own);
+    print("what its hosts believed then:", found.context);
+    print("lines left out there within that second:", found.gaps);
+    return ExitOk;
+}
+
+} // namespace mustardcourse::control
--- /dev/null
+++ b/scripts/platform-fleet.sh
@@ -0,0 +1,53 @@
+# Starts hosts on the platform's surrounding with our stand-in of the platform; sourced after fleet.sh.
+
+platform_settings() {
+    local number=$1
+    cat << END
+[host]
+id = host-$number
+data_centre = ${FLEET_PLACES[$(((number - 1) % 3))]}
+
+[listen]
+caller = 127.0.0.1:$((FLEET_PORT + 400 + number))
+readiness = 127.0.0.1:$((FLEET_PORT + 420 + number))
+metrics = 127.0.0.1:$((FLEET_PORT + 440 + number))
+
+[store]
+address = 127.0.0.1:$((FLEET_PORT + 399))
+
+[retries]
+ratio = 0.2
+extra = 54
+
+[times]
+stop_grace = 6s
+END
+}
+
+start_platform_standin() {
+    start platform "$FLEET_BIN/standin_platform" --store="127.0.0.1:$((FLEET_PORT + 399))" \
+        --first-target-port=$((FLEET_PORT + 500)) "$@"
+}
+
+start_platform_host() {
+    local number=$1
+    platform_settings "$number" > "$fleet_work/platform-$number.ini"
+    start "platform-host-$number" "$FLEET_BIN/mustardd" --settings="$fleet_work/platform-$number.ini"
+}
+
+# Sends one request and prints the whole response. Usage: ask PORT METHOD PATH ID
+ask() {
+    exec 9<> "/dev/tcp/127.0.0.1/$1"
+    printf '%s %s HTTP/1.1\r\nHost: search.example\r\nX-Attempt-Id: %s\r\nX-Time-Budget-Ms: 900\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' \
+        "$2" "$3" "$4" >&9
+    tr -d '\r' <&9
+    exec 9>&-
+}
+
+caller_port() {
+    echo $((FLEET_PORT + 400 + $1))
+}
+
+is_ready() {
+    ask $((FLEET_PORT + 420 + $1)) GET / ready 2> /dev/null | grep -q ' 200 '
+}
