--- a/apps/mustardctl/explain.cpp
+++ b/apps/mustardctl/explain.cpp
@@ -93,6 +93,7 @@
 explanation explainRequest(std::string_view id, const std::vector<std::string> &lines)
 {
     std::vector<log_line> parsed;
+    parsed.reserve(lines.size());
     for (const std::string &text : lines)
         parsed.push_back(parse(text));
     std::stable_sort(parsed.begin(), parsed.end(), isEarlier);
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -157,6 +157,7 @@
     /** Requests for which too few shards have room, the most urgent first; nothing of them has
         been sent. */
     std::set<entering_key> m_entering;
+    std::size_t m_memberCount = 1;
     query_number m_lastQuery = 0;
     std::uint64_t m_lastAttempt = 0;
     net::timer m_expiry;
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -85,6 +85,7 @@
 template <request_format Format>
 void query_service<Format>::setMemberCount(std::size_t count)
 {
+    m_memberCount = count;
     m_budgets.setMemberCount(count);
     m_connections.setMemberCount(count);
 }
@@ -292,6 +293,7 @@
     const query_shard &part = asked.shards[shard];
     const service_terms *terms = asked.inForce->findService(part.service);
     const std::size_t connections = terms == nullptr ? 1 : terms->maximumConnections;
+    const double coldRate = terms == nullptr ? 0 : terms->coldRequestsPerSecond;
     const duration expected = asked.statistics->usualLatency();
     const duration limit = roomLimit(*asked.matched);
     const time_point now = m_environment.time.now();
@@ -299,7 +301,8 @@
     target *chosen = m_environment.directory.choose(
         {part.service, expected, part.tried}, [&](const target &candidate) {
             isAnyUsable = true;
-            return candidate.hasRoom(expected, limit, now)
+            return candidate.mayAskCold(coldRate, m_memberCount, now)
+                && candidate.hasRoom(expected, limit, now)
                 && m_connections.hasRoom(candidate.registration(), connections);
         });
     const shard_gap gap = isAnyUsable ? shard_gap::NoRoom : shard_gap::NoTarget;
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -63,7 +63,8 @@
 class target
 {
 public:
-    target(target_registration registration, time_point now);
+    /** @param phase  evenly spread over hosts; see mayAskCold() */
+    target(target_registration registration, time_point now, std::uint32_t phase = 0);
 
     [[nodiscard]] const target_registration &registration() const noexcept
     {
@@ -111,6 +112,19 @@
     */
     [[nodiscard]] bool hasRoom(duration expected, duration limit, time_point now) const;
 
+    /**
+        Returns whether this host may send one more request to a cold target now.
+
+        Hosts do not talk about it: each sends one request an interval, and the intervals of all
+        hosts together give the rate that the target bears. In any second the sum is at most the
+        rate and one request a host.
+
+        @param requestsPerSecond  what the target bears from all hosts; no bound if zero
+        @param memberCount        hosts that share it; at least one
+    */
+    [[nodiscard]] bool mayAskCold(double requestsPerSecond, std::size_t memberCount,
+                                  time_point now) const;
+
 private:
     [[nodiscard]] double occupancy(duration expected, time_point now) const;
 
@@ -125,6 +139,9 @@
     reported_load m_load;
     time_point m_loadAt;
     time_point m_lastSent;
+    time_point m_coldSince;
+    /** Tells this host apart from the others where all would act at the same moment. */
+    std::uint32_t m_phase = 0;
 };
 
 /** What one choice of a target has to respect. */
@@ -142,6 +159,7 @@
 {
     data_centre_id ownDataCentre;
     duration otherDataCentrePenalty = std::chrono::milliseconds(8);
+    host_id ownHost;
 };
 
 /**
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -1,6 +1,9 @@
 #include <mustardcourse/serving/target_directory.h>
 
+#include <mustardcourse/core/hash.h>
+
 #include <cmath>
+#include <limits>
 
 namespace mustardcourse::serving {
 
@@ -40,23 +43,27 @@
 
 } // namespace
 
-target::target(target_registration registration, time_point now)
+target::target(target_registration registration, time_point now, std::uint32_t phase)
     : m_registration(std::move(registration))
     , m_coldUntil(now + m_registration.coldFor)
     , m_avoidedUntil(now)
     , m_slownessAt(now)
     , m_loadAt(now - mostLoadLifetime)
     , m_lastSent(now - probeInterval)
+    , m_coldSince(now)
+    , m_phase(phase)
 { }
 
 void target::update(target_registration registration, time_point now)
 {
     if (registration.order.startedAt != m_registration.order.startedAt) {
         std::vector<time_point> sent = std::move(m_sentAt);
-        *this = target(std::move(registration), now);
+        *this = target(std::move(registration), now, m_phase);
         m_sentAt = std::move(sent);
         return;
     }
+    if (!isCold(now))
+        m_coldSince = now;
     m_coldUntil = now + registration.coldFor;
     m_registration = std::move(registration);
 }
@@ -156,6 +163,18 @@
     return isProbe || expectedLatency(expected, now) <= limit;
 }
 
+bool target::mayAskCold(double requestsPerSecond, std::size_t memberCount, time_point now) const
+{
+    if (requestsPerSecond <= 0 || !isCold(now))
+        return true;
+    const std::chrono::duration<double> interval(static_cast<double>(memberCount)
+                                                 / requestsPerSecond);
+    // Hosts that learn of a cold target at the same moment must not ask it at the same moment.
+    const double phase = static_cast<double>(m_phase) / std::numeric_limits<std::uint32_t>::max();
+    const bool hasBegun = now - m_coldSince >= phase * interval;
+    return hasBegun && now - m_lastSent >= interval;
+}
+
 target_directory::target_directory(const clock &clock, placement_terms placement)
     : m_clock(clock)
     , m_placement(std::move(placement))
@@ -188,7 +207,10 @@
     }
     const instance_id instance = registration.instance;
     auto &ofService = m_byService[registration.service];
-    ofService.push_back(std::make_unique<target>(std::move(registration), m_clock.now()));
+    const std::uint64_t hash =
+        stableHash(m_placement.ownHost.value(), stableHash(instance.value()));
+    ofService.push_back(std::make_unique<target>(std::move(registration), m_clock.now(),
+                                                 static_cast<std::uint32_t>(hash)));
     m_byInstance[instance] = ofService.back().get();
     return true;
 }
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -30,7 +30,7 @@
 struct fixture
 {
     manual_clock time;
-    target_directory directory{time, {riga, 8ms}};
+    target_directory directory{time, {riga, 8ms, host_id("host")}};
 
     std::string chosen(const std::vector<instance_id> &tried = {})
     {
@@ -197,6 +197,51 @@
     }
 }
 
+TEST_CASE("a cold target gets at most its rate and one request a host in any second")
+{
+    struct row
+    {
+        std::string name;
+        std::size_t hosts;
+        double rate;
+    };
+    const row rows[] = {
+        {"few hosts", 3, 20}, {"today's hosts", 7, 10}, {"more hosts than requests", 10, 4}};
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        manual_clock time;
+        std::vector<std::unique_ptr<target_directory>> hosts;
+        for (std::size_t i = 0; i < item.hosts; ++i) {
+            hosts.push_back(std::make_unique<target_directory>(
+                time, placement_terms{riga, 8ms, host_id("host-" + std::to_string(i))}));
+            target_registration cold = registered("a");
+            cold.coldFor = 60s;
+            hosts.back()->update(cold);
+        }
+        std::vector<time_point> sent;
+        for (int step = 0; step < 4000; ++step) {
+            for (const auto &host : hosts) {
+                target *known = host->find(instance_id("a"));
+                if (!known->mayAskCold(item.rate, item.hosts, time.now()))
+                    continue;
+                known->noteSent(time.now());
+                sent.push_back(time.now());
+            }
+            time.advance(5ms);
+        }
+        std::size_t most = 0;
+        for (std::size_t first = 0, last = 0; last < sent.size(); ++last) {
+            while (sent[last] - sent[first] >= 1s)
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        CHECK(double(most) <= item.rate + double(item.hosts));
+        // The platform's bound: half as much again and five more.
+        CHECK(double(most) <= 1.5 * item.rate + 5);
+        CHECK(double(sent.size()) >= 0.8 * 20 * item.rate);
+    }
+}
+
 TEST_CASE("the hosts' retries stay within the shared bound in every window")
 {
     CHECK_PROPERTY("budgets", [](const std::vector<std::uint8_t> &events) {
