Tests: a planned stop under load, a repartition under load

Both on our stand-ins with callers on kept connections: no request cut, no answer with parts of two configurations.

--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -63,7 +63,14 @@
                   targets[index]->registration(dataCentre, state, sequence));
     }
 
-    void writeConfiguration(std::uint64_t version, const std::string &single = "s1")
+    /** Writes a configuration whose route over all shards names three new ones. */
+    void writeRepartition(std::uint64_t version)
+    {
+        writeConfiguration(version, "n0", {"n0", "n1", "n2"});
+    }
+
+    void writeConfiguration(std::uint64_t version, const std::string &single = "s1",
+                            const std::vector<std::string> &shards = {"s1", "s2"})
     {
         using nlohmann::json;
         const json all{{"Name", "all"},
@@ -74,7 +81,7 @@
                        {"TargetLatencyMs", 150},
                        {"Priority", 1},
                        {"MaxAttempts", 2},
-                       {"FanoutServices", {"s1", "s2"}},
+                       {"FanoutServices", shards},
                        {"ResultCount", 5},
                        {"MinShardShare", 0.5}};
         json one{{"Name", "one"},         {"Host", "h"},
@@ -87,7 +94,7 @@
         once["PathPrefix"] = "/once/";
         once["RouteType"] = "non_idempotent";
         json services = json::array();
-        for (const char *name : {"s1", "s2"})
+        for (const char *name : {"s1", "s2", "n0", "n1", "n2"})
             services.push_back({{"Name", name}, {"HealthPath", "/health"}, {"MaxConnections", 20}});
         store.put(
             "op/config",
@@ -429,3 +436,119 @@
             CHECK(inTime >= results.size() * 95 / 100);
     }
 }
+
+namespace {
+
+/** A caller that sends one request after the other on a kept connection, as callers do. */
+class steady_caller
+{
+public:
+    steady_caller(platform_fixture &f, std::string name)
+        : m_fixture(f)
+        , m_name(std::move(name))
+        , m_pool(f.loop, f.time, endpoint("127.0.0.1", callerPort), {.maximumConnections = 1})
+    {
+        sendNext();
+    }
+
+    void stop() { m_isStopped = true; }
+
+    std::size_t answered = 0;
+    std::size_t cut = 0;
+    std::size_t unreached = 0;
+    std::vector<std::string> parts;
+
+private:
+    void sendNext()
+    {
+        http::exchange_request request;
+        request.bytes = fmt::format("GET /all/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {}-{}\r\n"
+                                    "X-Time-Budget-Ms: 800\r\n\r\n",
+                                    m_name, ++m_sent);
+        request.onEnd = [this](http::exchange_result &&ended) {
+            answered += ended.answer.status == 200 ? 1 : 0;
+            cut += ended.end == http::exchange_end::Lost ? 1 : 0;
+            unreached += ended.end == http::exchange_end::NotSent ? 1 : 0;
+            if (ended.answer.status == 200)
+                parts.push_back(headerOf(ended.answer, "X-Part-Stamps"));
+            if (ended.end == http::exchange_end::NotSent || m_isStopped)
+                return;
+            m_next.start(3ms);
+        };
+        m_pool.send(std::move(request));
+    }
+
+    platform_fixture &m_fixture;
+    std::string m_name;
+    http::client_pool m_pool;
+    std::size_t m_sent = 0;
+    bool m_isStopped = false;
+    net::timer m_next{m_fixture.loop, [this] { sendNext(); }};
+};
+
+} // namespace
+
+TEST_CASE("a planned stop under load cuts no request of callers on kept connections")
+{
+    platform_fixture f;
+    std::vector<std::unique_ptr<steady_caller>> callers;
+    for (int i = 0; i < 8; ++i)
+        callers.push_back(std::make_unique<steady_caller>(f, fmt::format("caller-{}", i)));
+    f.runFor(300ms);
+    std::raise(SIGTERM);
+    f.runFor(100ms);
+    CHECK(f.get("/readiness", callerPort + 1).status == 503);
+    const auto areRefused = [&] {
+        return std::all_of(callers.begin(), callers.end(),
+                           [](const auto &caller) { return caller->unreached > 0; });
+    };
+    // The grace period is 6 s; the host refuses connections well before.
+    f.runUntil(areRefused, 6s);
+    for (const auto &caller : callers) {
+        CHECK(caller->answered > 50);
+        CHECK(caller->cut == 0);
+    }
+}
+
+TEST_CASE(
+    "a repartition under load mixes no parts of two configurations, and every lookup is whole")
+{
+    platform_fixture f;
+    std::vector<std::unique_ptr<standins::platform_target>> next;
+    for (std::uint16_t i = 0; i < 3; ++i) {
+        next.push_back(std::make_unique<standins::platform_target>(
+            f.loop, f.time, endpoint("127.0.0.1", firstTargetPort + 10 + i),
+            standins::platform_target_settings{.instance = fmt::format("n-{}", i),
+                                               .service = fmt::format("n{}", i)}));
+        f.store.put(fmt::format("servers/n-{}", i), next.back()->registration("riga", "ready", 1));
+    }
+    std::vector<std::unique_ptr<steady_caller>> callers;
+    for (int i = 0; i < 6; ++i)
+        callers.push_back(std::make_unique<steady_caller>(f, fmt::format("caller-{}", i)));
+    f.runFor(400ms);
+    f.writeRepartition(2);
+    f.runFor(300ms);
+    for (std::size_t i = 0; i < 4; ++i)
+        f.registerTarget(i, "draining", 2);
+    f.runFor(500ms);
+    for (const auto &caller : callers)
+        caller->stop();
+    f.runFor(100ms);
+    std::size_t ofOld = 0;
+    std::size_t ofNew = 0;
+    for (const auto &caller : callers) {
+        CHECK(caller->cut == 0);
+        CHECK(caller->answered + 1 >= caller->parts.size());
+        for (const std::string &stamps : caller->parts) {
+            const auto oldParts = std::count(stamps.begin(), stamps.end(), 'i');
+            const auto newParts = std::count(stamps.begin(), stamps.end(), 'n');
+            CAPTURE(stamps);
+            CHECK((oldParts == 0 || newParts == 0));
+            ofOld += oldParts > 0 ? 1 : 0;
+            ofNew += newParts > 0 ? 1 : 0;
+            CHECK(std::count(stamps.begin(), stamps.end(), ',') == (oldParts > 0 ? 1 : 2));
+        }
+    }
+    CHECK(ofOld > 100);
+    CHECK(ofNew > 100);
+}
