Second attempts may spend a small host's share of the retry budget

Cause: on the grown deployments 67 hosts share the constant of the budget, about two attempts each; second attempts left one to retries and so needed two at once, and a host began with half of one. 36 shards meet a pause in 77 % of the lookups, so most lookups missed a part or came late. Change: a fifth of the reserve is left to retries instead of one attempt; a host begins with at least one. The sum stays bounded: docs/design/platform.md.

--- a/include/mustardcourse/limits/retry_budget.h
+++ b/include/mustardcourse/limits/retry_budget.h
@@ -55,6 +55,7 @@
     /** Gives back a retry that never reached its target. */
     void refund() { m_tokens = std::min(m_tokens + 1, m_reserve); }
 
+    [[nodiscard]] double reserve() const noexcept { return m_reserve; }
     [[nodiscard]] double available() const noexcept { return m_tokens; }
 
 private:
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -14,8 +14,9 @@
 constexpr std::chrono::milliseconds hedgeInterval{6};
 /** Interval at which waiting requests look for room again. */
 constexpr std::chrono::milliseconds entryInterval{4};
-/** Retries that second attempts leave to attempts that failed. */
-constexpr double budgetKeptForRetries = 1;
+/** Part of the reserve that second attempts leave to attempts that failed; of a small reserve, as
+    where many hosts share the bound, it is less than one attempt. */
+constexpr double budgetKept = 0.2;
 /** One in this number of successes is logged. */
 constexpr std::size_t loggedSuccessInterval = 64;
 
@@ -510,7 +511,7 @@
         if (!asked.progress.mayHedge(shard))
             continue;
         limits::retry_budget &budget = m_budgets.of(asked.shards[shard].service);
-        if (!budget.trySpend(query_details::budgetKeptForRetries)) {
+        if (!budget.trySpend(query_details::budgetKept * budget.reserve())) {
             m_environment.metrics.budgetDenials.Increment();
             isAnyLeft = true;
             continue;
--- a/modules/serving/retry_budgets.cpp
+++ b/modules/serving/retry_budgets.cpp
@@ -1,5 +1,7 @@
 #include <mustardcourse/serving/retry_budgets.h>
 
+#include <algorithm>
+
 namespace mustardcourse::serving {
 
 namespace {
@@ -9,6 +11,8 @@
 constexpr double spentPart = 0.8;
 /** Part of the reserve that a host has at its start; a restarted host has spent some before. */
 constexpr double initialPart = 0.25;
+/** Attempts that it has at the least, so that a host with a small share can repeat one at all. */
+constexpr double leastInitial = 1;
 
 } // namespace
 
@@ -40,7 +44,8 @@
     const auto found = m_budgets.find(service);
     if (found != m_budgets.end())
         return found->second;
-    limits::retry_budget budget(spentPart * m_terms.ratio, reserve(), initialPart * reserve());
+    const double initial = std::max(leastInitial, initialPart * reserve());
+    limits::retry_budget budget(spentPart * m_terms.ratio, reserve(), initial);
     return m_budgets.emplace(service, budget).first->second;
 }
 
