--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -135,6 +135,7 @@
     void finish(query &asked, scatter_verdict verdict);
     http::reply answerOf(query &asked) const;
     http::reply failureOf(query &asked, refusal &reason) const;
+    [[nodiscard]] duration answerMargin() const;
     [[nodiscard]] duration roomLimit(const route &matched) const;
     void explainRoom(const query &asked) const;
     void report(const query &asked, std::string_view outcome, int status) const;
@@ -160,6 +161,8 @@
     std::size_t m_memberCount = 1;
     query_number m_lastQuery = 0;
     std::uint64_t m_lastAttempt = 0;
+    /** How late timers of this host run, which its answers are as well. */
+    latency_histogram m_lag;
     net::timer m_expiry;
     bool m_isExpiryRunning = false;
     /** Requests that came before open(). */
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -17,6 +17,8 @@
 /** Part of the reserve that second attempts leave to attempts that failed; of a small reserve, as
     where many hosts share the bound, it is less than one attempt. */
 constexpr double budgetKept = 0.2;
+/** Part of the timers that run no later than what is reckoned with. */
+constexpr double lagQuantile = 0.9;
 /** One in this number of successes is logged. */
 constexpr std::size_t loggedSuccessInterval = 64;
 
@@ -159,11 +161,19 @@
     terms.leastAnswers = leastAnswersFor(matched.leastShardShare, terms.shardCount);
     terms.maximumTargets = std::max<std::size_t>(matched.maximumTargets, 1);
     terms.isIdempotent = matched.isIdempotent;
-    terms.cutoff = exchange.arrival() + untilObjective - m_settings.answerMargin;
+    terms.cutoff = exchange.arrival() + untilObjective - answerMargin();
     terms.end = exchange.arrival() + limit - m_settings.answerMargin;
     return terms;
 }
 
+template <request_format Format>
+duration query_service<Format>::answerMargin() const
+{
+    // A busy host reads a request late and answers it late.
+    return m_settings.answerMargin
+        + 2 * m_lag.quantile(query_details::lagQuantile, duration::zero());
+}
+
 template <request_format Format>
 void query_service<Format>::start(std::unique_ptr<http::caller_exchange> exchange, caller_call call,
                                   const route &matched)
@@ -558,6 +568,7 @@
     if (found == m_queries.end())
         return;
     query &asked = *found->second;
+    m_lag.record(std::max(m_environment.time.now() - asked.wakeAt, duration::zero()));
     asked.wakeAt = time_point::max();
     if (m_environment.time.now() >= asked.waitUntil)
         giveUpWaiting(asked);
