--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -14,8 +14,8 @@
 constexpr std::chrono::milliseconds hedgeInterval{6};
 /** Interval at which waiting requests look for room again. */
 constexpr std::chrono::milliseconds entryInterval{4};
-/** Part of the reserve that second attempts leave to attempts that failed; of a small reserve, as
-    where many hosts share the bound, it is less than one attempt. */
+/** Part of the reserve that second attempts leave to attempts that failed, but one attempt at the
+    most; of a small reserve, as where many hosts share the bound, it is less. */
 constexpr double budgetKept = 0.2;
 /** Part of the timers that run no later than what is reckoned with. */
 constexpr double lagQuantile = 0.9;
@@ -521,7 +521,8 @@
         if (!asked.progress.mayHedge(shard))
             continue;
         limits::retry_budget &budget = m_budgets.of(asked.shards[shard].service);
-        if (!budget.trySpend(query_details::budgetKept * budget.reserve())) {
+        const double kept = std::min(1.0, query_details::budgetKept * budget.reserve());
+        if (!budget.trySpend(kept)) {
             m_environment.metrics.budgetDenials.Increment();
             isAnyLeft = true;
             continue;
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -48,10 +48,10 @@
     duration lapseGrace = std::chrono::milliseconds(2300);
     /** How long one watch waits for a change. A watch that the store has swallowed during an outage
         shows only by its end, so this bounds how long a host may miss changes afterwards. */
-    duration watchTime = std::chrono::seconds(4);
+    duration watchTime = std::chrono::milliseconds(5500);
     /** Pause between two watches, so that one answer tells of several changes: the store counts
         every call, and changes come in bursts. */
-    duration watchPause = std::chrono::milliseconds(250);
+    duration watchPause = std::chrono::milliseconds(500);
     duration firstRetry = std::chrono::milliseconds(100);
     duration longestRetry = std::chrono::milliseconds(800);
 };
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -269,4 +269,19 @@
         }
         RC_ASSERT(worst <= terms.extra);
     });
+    // All that hosts have saved up may be spent in the same window.
+    for (const std::size_t hosts : {std::size_t{1}, std::size_t{7}, std::size_t{67}}) {
+        CAPTURE(hosts);
+        constexpr shared_retry_terms terms{0.2, 174};
+        std::size_t spent = 0;
+        for (std::size_t host = 0; host < hosts; ++host) {
+            retry_budgets budgets(terms);
+            budgets.setMemberCount(hosts);
+            budgets.of(bids).earn(10'000);
+            while (budgets.of(bids).trySpend())
+                ++spent;
+        }
+        CHECK(spent <= std::size_t(terms.extra));
+        CHECK(spent >= std::size_t(terms.extra / 2));
+    }
 }
