--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -175,3 +175,7 @@
 } // namespace mustardcourse::serving
 
 #include <mustardcourse/serving/query_service_implementation.h>
+
+#include <mustardcourse/serving/query_service_admission.h>
+#include <mustardcourse/serving/query_service_answers.h>
+#include <mustardcourse/serving/query_service_attempts.h>
--- /dev/null
+++ b/include/mustardcourse/serving/query_service_admission.h
@@ -0,0 +1,192 @@
+#pragma once
+
+// Definitions of query_service; include query_service.h instead.
+// When requests are let in, wait for a target with room, or are given up.
+
+#include <mustardcourse/serving/query_service.h>
+
+namespace mustardcourse::serving {
+
+template <request_format Format>
+bool query_service<Format>::isLate(duration firstTry, const route &matched)
+{
+    return firstTry > matched.latencyObjective / 2;
+}
+
+template <request_format Format>
+void query_service<Format>::enter(query &asked)
+{
+    for (const query_shard &part : asked.shards)
+        m_budgets.of(part.service).earn(1);
+    if (admit(asked))
+        return;
+    asked.waitUntil = m_environment.time.now() + waitFor(asked);
+    m_entering.insert(keyOf(asked));
+    m_entry.start(query_details::entryInterval);
+}
+
+template <request_format Format>
+duration query_service<Format>::waitFor(const query &asked) const
+{
+    const duration objective = asked.matched->latencyObjective;
+    if (!asked.isLateTry)
+        return std::chrono::duration_cast<duration>(m_settings.waitPart * objective);
+    // The caller will not come again, and it still waits.
+    const duration left = asked.progress.terms().end - m_environment.time.now();
+    return std::min(objective, left / 2);
+}
+
+template <request_format Format>
+bool query_service<Format>::admit(query &asked)
+{
+    std::vector<target_choice> choices;
+    std::size_t answerable = 0;
+    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
+        choices.push_back(chooseFor(asked, shard));
+        answerable += choices.back().chosen != nullptr ? 1 : 0;
+    }
+    // Work on the other shards would be wasted where too few can answer in time.
+    if (answerable < asked.progress.terms().leastAnswers) {
+        for (std::size_t shard = 0; shard < asked.shards.size(); ++shard)
+            asked.shards[shard].gap = choices[shard].gap;
+        return false;
+    }
+    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
+        const target_choice &choice = choices[shard];
+        if (choice.chosen != nullptr) {
+            transmit(asked, shard, choice);
+            continue;
+        }
+        asked.shards[shard].gap = choice.gap;
+        if (choice.gap == shard_gap::NoTarget)
+            asked.progress.giveUp(shard);
+        else
+            await(asked, shard, m_environment.time.now() + waitFor(asked));
+    }
+    return true;
+}
+
+template <request_format Format>
+void query_service<Format>::admitEntering()
+{
+    while (!m_entering.empty()) {
+        const query_number number = std::get<query_number>(*m_entering.begin());
+        const auto found = m_queries.find(number);
+        if (found != m_queries.end()) {
+            query &asked = *found->second;
+            asked.waitUntil = time_point::max();
+            if (!admit(asked)) {
+                asked.waitUntil = asked.enteredAt + waitFor(asked);
+                // Targets also become free by what other hosts ask of them.
+                m_entry.start(query_details::entryInterval);
+                return;
+            }
+            m_entering.erase(m_entering.begin());
+            settle(asked);
+            continue;
+        }
+        m_entering.erase(m_entering.begin());
+    }
+}
+
+template <request_format Format>
+void query_service<Format>::await(query &asked, std::size_t shard, time_point until)
+{
+    query_shard &part = asked.shards[shard];
+    part.isWaiting = true;
+    asked.waitUntil = std::min(asked.waitUntil, until);
+    m_waiting[part.service].emplace(asked.matched->priority, asked.progress.terms().end,
+                                    asked.number, shard);
+}
+
+template <request_format Format>
+typename query_service<Format>::target_choice query_service<Format>::chooseFor(const query &asked,
+                                                                               std::size_t shard)
+{
+    const query_shard &part = asked.shards[shard];
+    const service_terms *terms = asked.inForce->findService(part.service);
+    const std::size_t connections = terms == nullptr ? 1 : terms->maximumConnections;
+    const double coldRate = terms == nullptr ? 0 : terms->coldRequestsPerSecond;
+    const duration expected = asked.statistics->usualLatency();
+    const duration limit = roomLimit(*asked.matched);
+    const time_point now = m_environment.time.now();
+    bool isAnyUsable = false;
+    target *chosen = m_environment.directory.choose(
+        {part.service, expected, part.tried}, [&](const target &candidate) {
+            isAnyUsable = true;
+            return candidate.mayAskCold(coldRate, m_memberCount, now)
+                && candidate.hasRoom(expected, limit, now)
+                && m_connections.hasRoom(candidate.registration(), connections);
+        });
+    const shard_gap gap = isAnyUsable ? shard_gap::NoRoom : shard_gap::NoTarget;
+    return {chosen, chosen != nullptr ? shard_gap::None : gap, connections};
+}
+
+template <request_format Format>
+void query_service<Format>::giveUpWaiting(query &asked)
+{
+    asked.waitUntil = time_point::max();
+    const bool isEntering = m_entering.erase(keyOf(asked)) > 0;
+    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
+        query_shard &part = asked.shards[shard];
+        if (isEntering)
+            asked.progress.giveUp(shard);
+        if (!part.isWaiting)
+            continue;
+        part.isWaiting = false;
+        if (!part.tried.empty())
+            m_budgets.of(part.service).refund();
+        asked.progress.giveUp(shard);
+        const auto waiting = m_waiting.find(part.service);
+        if (waiting != m_waiting.end())
+            waiting->second.erase(
+                {asked.matched->priority, asked.progress.terms().end, asked.number, shard});
+    }
+}
+
+template <request_format Format>
+duration query_service<Format>::roomLimit(const route &matched) const
+{
+    return std::chrono::duration_cast<duration>(m_settings.roomPart
+                                                * duration(matched.latencyObjective));
+}
+
+template <request_format Format>
+void query_service<Format>::wakeWaiting(const service_id &service)
+{
+    const auto found = m_waiting.find(service);
+    if (found == m_waiting.end())
+        return;
+    std::set<waiting_key> &waiting = found->second;
+    while (!waiting.empty()) {
+        const auto [priority, end, number, shard] = *waiting.begin();
+        const auto asked = m_queries.find(number);
+        if (asked != m_queries.end()) {
+            query &waiter = *asked->second;
+            const bool isSent = send(waiter, shard);
+            if (!isSent && waiter.shards[shard].gap == shard_gap::NoRoom)
+                return;
+            if (!isSent)
+                waiter.progress.giveUp(shard);
+            waiter.shards[shard].isWaiting = false;
+            waiting.erase(waiting.begin());
+            settle(waiter);
+            continue;
+        }
+        waiting.erase(waiting.begin());
+    }
+    m_waiting.erase(service);
+}
+
+template <request_format Format>
+void query_service<Format>::retryWaiting()
+{
+    std::vector<service_id> services;
+    for (const auto &[service, waiting] : m_waiting)
+        services.push_back(service);
+    for (const service_id &service : services)
+        wakeWaiting(service);
+    admitEntering();
+}
+
+} // namespace mustardcourse::serving
--- /dev/null
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -0,0 +1,267 @@
+#pragma once
+
+// Definitions of query_service; include query_service.h instead.
+// Sending to targets, what their answers teach, retries and second attempts.
+
+#include <mustardcourse/serving/query_service.h>
+
+namespace mustardcourse::serving {
+
+template <request_format Format>
+bool query_service<Format>::send(query &asked, std::size_t shard)
+{
+    const target_choice choice = chooseFor(asked, shard);
+    if (choice.chosen == nullptr) {
+        asked.shards[shard].gap = choice.gap;
+        return false;
+    }
+    transmit(asked, shard, choice);
+    return true;
+}
+
+template <request_format Format>
+void query_service<Format>::transmit(query &asked, std::size_t shard, const target_choice &choice)
+{
+    using namespace std::chrono_literals;
+    target &chosen = *choice.chosen;
+    query_shard &part = asked.shards[shard];
+    const time_point now = m_environment.time.now();
+    const auto left = query_details::wholeMilliseconds(asked.deadline - now);
+    const bool isIdempotent = asked.progress.terms().isIdempotent;
+    const std::uint64_t number = ++m_lastAttempt;
+
+    http::exchange_request request;
+    request.bytes =
+        m_format.forward(asked.call, chosen.registration().instance, std::max(left, 1ms));
+    request.isOwn = [this, id = asked.call.id](const http::response &response) {
+        return m_format.isOwn(id, response);
+    };
+    request.onEnd = [this, number](http::exchange_result &&result) {
+        onExchangeEnd(number, std::move(result));
+    };
+    if (!isIdempotent)
+        request.longestIdle = m_settings.longestIdleForOnce;
+    request.isBodyExpected = asked.call.isBodyExpected;
+
+    attempt &sent = m_attempts[number];
+    sent.owner = asked.number;
+    sent.shard = shard;
+    sent.service = part.service;
+    sent.instance = chosen.registration().instance;
+    sent.sentAt = now;
+    sent.expected = asked.statistics->usualLatency();
+    sent.expected =
+        std::chrono::duration_cast<duration>(sent.expected * chosen.crowding(sent.expected, now));
+    sent.isIdempotent = isIdempotent;
+    sent.statistics = asked.statistics;
+    part.tried.push_back(sent.instance);
+    part.gap = shard_gap::Late;
+    chosen.noteSent(now);
+    asked.progress.noteSent(shard);
+    sent.exchange =
+        m_connections.send(chosen.registration(), choice.connections, std::move(request));
+}
+
+template <request_format Format>
+void query_service<Format>::onExchangeEnd(std::uint64_t number, http::exchange_result &&result)
+{
+    const auto found = m_attempts.find(number);
+    if (found == m_attempts.end())
+        return;
+    const attempt ended = std::move(found->second);
+    m_attempts.erase(found);
+
+    const bool wasReused = result.wasReused;
+    attempt_end end =
+        result.end == http::exchange_end::NotSent ? attempt_end::NotSent : attempt_end::Lost;
+    std::optional<target_answer> answer;
+    if (result.end == http::exchange_end::Answered) {
+        answer = m_format.readAnswer(std::move(result.answer));
+        // Nothing shows whether such a body is whole, so it is used only where none can be had
+        // again. @see failureOf
+        const bool isDoubtful = answer->response.isDelimitedByClose && ended.isIdempotent;
+        end = isDoubtful && answer->end == attempt_end::Answered ? attempt_end::Lost : answer->end;
+        target *known = m_environment.directory.find(ended.instance);
+        if (known != nullptr && answer->load)
+            known->noteLoad(*answer->load, m_environment.time.now());
+    }
+    m_environment.metrics.countAttempt(std::string(query_details::nameOf(end)));
+    switch (end) {
+    case attempt_end::Answered:
+        ended.statistics->recordAttempt(m_environment.time.now() - ended.sentAt);
+        noteEvidence(ended, target_evidence::Success);
+        break;
+    case attempt_end::NotRun:
+        noteEvidence(ended, target_evidence::Refused);
+        break;
+    case attempt_end::Lost:
+        // A kept connection that the target closed as the request was sent is nobody's failure.
+        noteEvidence(ended, wasReused ? target_evidence::Cancelled : target_evidence::Failure);
+        break;
+    case attempt_end::Failed:
+    case attempt_end::NotSent:
+        noteEvidence(ended, target_evidence::Failure);
+        break;
+    }
+    takeAnswer(ended, end, std::move(answer));
+    wakeWaiting(ended.service);
+    admitEntering();
+}
+
+template <request_format Format>
+void query_service<Format>::noteEvidence(const attempt &ended, target_evidence evidence)
+{
+    target *known = m_environment.directory.find(ended.instance);
+    if (known != nullptr)
+        known->noteEnd(evidence, ended.sentAt, m_environment.time.now(), ended.expected);
+}
+
+template <request_format Format>
+void query_service<Format>::takeAnswer(const attempt &ended, attempt_end end,
+                                       std::optional<target_answer> answer)
+{
+    const auto found = m_queries.find(ended.owner);
+    if (found == m_queries.end())
+        return;
+    query &asked = *found->second;
+    query_shard &part = asked.shards[ended.shard];
+    const bool isFirstAnswer = !asked.progress.isAnswered(ended.shard);
+    asked.progress.noteEnd(ended.shard, end);
+    const bool isPassable = end == attempt_end::Failed || end == attempt_end::Lost;
+    if (end == attempt_end::Answered && isFirstAnswer) {
+        part.answer = std::move(answer);
+        part.gap = shard_gap::None;
+    } else if (isPassable && answer && !asked.matched->asksAllShards())
+        asked.failure = std::move(answer);
+    if (end != attempt_end::Answered) {
+        m_environment.log.limited("attempt-ended",
+                                  {{"id", asked.call.id.value()},
+                                   {"target", ended.instance.value()},
+                                   {"service", ended.service.value()},
+                                   {"end", query_details::nameOf(end)}});
+        // Nothing was run, so the attempt costs the target nothing that the budget guards.
+        if (end == attempt_end::NotSent && part.tried.size() > 1)
+            m_budgets.of(part.service).refund();
+        retry(asked, ended.shard);
+    }
+    settle(asked);
+}
+
+template <request_format Format>
+void query_service<Format>::retry(query &asked, std::size_t shard)
+{
+    query_shard &part = asked.shards[shard];
+    if (asked.progress.isAnswered(shard) || asked.progress.isRunning(shard))
+        return;
+    if (!asked.progress.mayRetry(shard)) {
+        part.gap = shard_gap::Exhausted;
+        asked.progress.giveUp(shard);
+        return;
+    }
+    limits::retry_budget &budget = m_budgets.of(part.service);
+    if (!budget.trySpend()) {
+        m_environment.metrics.budgetDenials.Increment();
+        part.gap = shard_gap::NoBudget;
+        asked.progress.giveUp(shard);
+        return;
+    }
+    if (send(asked, shard)) {
+        ++asked.retryCount;
+        m_environment.metrics.retries.Increment();
+        return;
+    }
+    const time_point cutoff = asked.progress.terms().cutoff;
+    if (part.gap == shard_gap::NoRoom && m_environment.time.now() < cutoff)
+        return await(asked, shard, cutoff);
+    budget.refund();
+    asked.progress.giveUp(shard);
+}
+
+template <request_format Format>
+void query_service<Format>::hedge(query &asked)
+{
+    const time_point now = m_environment.time.now();
+    bool isAnyLeft = false;
+    for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
+        if (!asked.progress.mayHedge(shard))
+            continue;
+        limits::retry_budget &budget = m_budgets.of(asked.shards[shard].service);
+        const double kept = std::min(1.0, query_details::budgetKept * budget.reserve());
+        if (!budget.trySpend(kept)) {
+            m_environment.metrics.budgetDenials.Increment();
+            isAnyLeft = true;
+            continue;
+        }
+        if (!send(asked, shard)) {
+            budget.refund();
+            isAnyLeft = true;
+            continue;
+        }
+        ++asked.hedgeCount;
+        m_environment.metrics.hedges.Increment();
+    }
+    const time_point again = now + query_details::hedgeInterval;
+    asked.hedgeAt = isAnyLeft && again < asked.progress.terms().end ? again : time_point::max();
+}
+
+template <request_format Format>
+void query_service<Format>::abandon(query_number number)
+{
+    const auto found = m_queries.find(number);
+    if (found == m_queries.end())
+        return;
+    report(*found->second, "caller-left", 0);
+    release(number);
+}
+
+template <request_format Format>
+void query_service<Format>::release(query_number number)
+{
+    const time_point expiry = m_environment.time.now() + m_settings.abandonedAttemptTime;
+    bool isAnyLeft = false;
+    for (auto &[attemptNumber, left] : m_attempts) {
+        if (left.owner != number)
+            continue;
+        left.owner = 0;
+        // What must not be repeated is left to run to its end.
+        if (left.isIdempotent) {
+            left.expiresAt = expiry;
+            isAnyLeft = true;
+        }
+    }
+    m_queries.erase(number);
+    if (isAnyLeft && !m_isExpiryRunning) {
+        m_isExpiryRunning = true;
+        m_expiry.start(query_details::expiryInterval);
+    }
+}
+
+template <request_format Format>
+void query_service<Format>::expireAttempts()
+{
+    const time_point now = m_environment.time.now();
+    bool isAnyLeft = false;
+    std::set<service_id> freed;
+    for (auto each = m_attempts.begin(); each != m_attempts.end();) {
+        const attempt &left = each->second;
+        isAnyLeft = isAnyLeft || (left.owner == 0 && left.expiresAt > now);
+        if (left.expiresAt > now) {
+            ++each;
+            continue;
+        }
+        m_connections.cancel(left.instance, left.exchange);
+        m_environment.metrics.countAttempt("cancelled");
+        noteEvidence(left, target_evidence::Cancelled);
+        freed.insert(left.service);
+        each = m_attempts.erase(each);
+    }
+    m_isExpiryRunning = isAnyLeft;
+    if (isAnyLeft)
+        m_expiry.start(query_details::expiryInterval);
+    for (const service_id &service : freed)
+        wakeWaiting(service);
+    if (!freed.empty())
+        admitEntering();
+}
+
+} // namespace mustardcourse::serving
