A stop closes connections that have been idle for a while, not all at once

Cause: closing what is idle during a stop also closed connections that had been accepted a moment ago, with their first request still unread, and those that were finishing their response. Ruled out: the listener's close; with only the condition changed it is gone. The test is as it was.

--- a/include/mustardcourse/http/caller_server.h
+++ b/include/mustardcourse/http/caller_server.h
@@ -94,8 +94,8 @@
     /** Refuses new connections from now on. */
     void stopAccepting() { m_listener.reset(); }
 
-    /** Closes the connections on which no request is under way. */
-    void closeIdle();
+    /** Closes the connections on which no request has been under way for a time. */
+    void closeIdle(duration idleTime);
 
     /** Returns the requests that have begun and are not answered yet. */
     [[nodiscard]] std::size_t pendingCount() const noexcept;
--- a/modules/http/caller_connection.h
+++ b/modules/http/caller_connection.h
@@ -19,7 +19,8 @@
     /** Notes that the exchange under way was given up without a response. */
     void abandon();
 
-    [[nodiscard]] bool isIdle() const noexcept;
+    /** Returns whether no request is under way and none has arrived for a time. */
+    [[nodiscard]] bool isIdleFor(duration length) const;
     [[nodiscard]] bool hasExchange() const noexcept { return m_exchange != nullptr; }
 
 private:
@@ -39,6 +40,7 @@
     net::timer m_timer;
     std::string m_unread;
     caller_exchange *m_exchange = nullptr;
+    time_point m_idleSince;
     bool m_isFirst = true;
     bool m_keepsOpen = true;
     bool m_isFinishing = false;
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -56,13 +56,16 @@
         left.m_onGone();
 }
 
-bool caller_connection::isIdle() const noexcept
+bool caller_connection::isIdleFor(duration length) const
 {
-    return m_exchange == nullptr && m_unread.empty() && m_reader.state() == read_state::Empty;
+    const bool isIdle =
+        m_exchange == nullptr && m_unread.empty() && m_reader.state() == read_state::Empty;
+    return isIdle && !m_isFinishing && m_server.m_clock.now() - m_idleSince >= length;
 }
 
 void caller_connection::watchIdle()
 {
+    m_idleSince = m_server.m_clock.now();
     m_timer.start(m_server.m_limits.idleTime);
 }
 
@@ -203,11 +206,11 @@
         delete *m_connections.begin();
 }
 
-void caller_server::closeIdle()
+void caller_server::closeIdle(duration idleTime)
 {
     const auto all = m_connections;
     for (caller_connection *each : all) {
-        if (each->isIdle())
+        if (each->isIdleFor(idleTime))
             delete each;
     }
 }
