--- a/include/mustardcourse/limits/retry_budget.h
+++ b/include/mustardcourse/limits/retry_budget.h
@@ -56,7 +56,6 @@
     void refund() { m_tokens = std::min(m_tokens + 1, m_reserve); }
 
     [[nodiscard]] double reserve() const noexcept { return m_reserve; }
-    [[nodiscard]] double available() const noexcept { return m_tokens; }
 
 private:
     double m_fraction;
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -194,12 +194,6 @@
     template <typename Room>
     [[nodiscard]] target *choose(const choice_terms &terms, Room &&hasRoom);
 
-    /** Returns whether any target of the service may get requests at all. */
-    [[nodiscard]] bool isServed(const service_id &service) const;
-
-    /** Returns the slots of the targets of a service that may get requests. */
-    [[nodiscard]] std::size_t slotsOf(const service_id &service) const;
-
     /** Returns the targets of a service, those that may get no requests among them. */
     [[nodiscard]] std::vector<const target *> of(const service_id &service) const;
 
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -262,25 +262,6 @@
     return isOwn ? latency : latency + m_placement.otherDataCentrePenalty;
 }
 
-bool target_directory::isServed(const service_id &service) const
-{
-    const auto found = m_byService.find(service);
-    return found != m_byService.end()
-        && std::any_of(found->second.begin(), found->second.end(),
-                       [&](const auto &each) { return isUsable(*each); });
-}
-
-std::size_t target_directory::slotsOf(const service_id &service) const
-{
-    const auto found = m_byService.find(service);
-    if (found == m_byService.end())
-        return 0;
-    std::size_t slots = 0;
-    for (const auto &each : found->second)
-        slots += isUsable(*each) ? each->registration().slots : 0;
-    return slots;
-}
-
 std::vector<const target *> target_directory::of(const service_id &service) const
 {
     std::vector<const target *> targets;
