A refusal leaves within a quarter of the objective, the ways reckoned with

Cause: a request without room waited a fifth of its objective from its arrival, which left a twentieth for the caller's connection, the ways and late timers.

Change: the end of the wait is reckoned back from the quarter, as the cutoff is from the objective: less what the caller has waited, the way back and this host's usual lateness. A shard of a request that was let in waits as before. The test records how long the process was held back by the machine, to trace a later failure.

--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -52,6 +52,8 @@
     time_point deadline;
     /** When second attempts are sent; never, if it is the greatest time. */
     time_point hedgeAt = time_point::max();
+    /** When a refusal has to leave to be of use to the caller. */
+    time_point refuseBy;
     /** Whether the caller tried before and the objective of that try has passed. */
     bool isLateTry = false;
     /** When shards that wait for a target with room are given up. */
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -27,9 +27,12 @@
     /** Part of a route's latency objective within which a target's answer is expected, or the
         target has no room; the rest is for the way and for second attempts. */
     double roomPart = 0.8;
-    /** Part of the objective for which a request waits for a target with room. A caller that is
-        refused within a quarter of its objective can still be served in time. */
-    double waitPart = 0.2;
+    /** Part of the objective for which one shard of a request that was let in waits for a target
+        with room; about what a second attempt would need to be of use. */
+    double shardWaitPart = 0.2;
+    /** Part of the objective within which a caller is told that its request was refused, ways and
+        late timers included; one that is told by then can still be served in time elsewhere. */
+    double refusalPart = 0.25;
     /** How long a request waits for a process that has just started to learn what it serves. */
     duration openingTime = std::chrono::milliseconds(100);
     /** The longest idle time of a connection that carries a non-idempotent request: one that the
@@ -101,9 +104,12 @@
     void releaseEarly();
     void start(std::unique_ptr<http::caller_exchange> exchange, caller_call call,
                const route &matched);
-    [[nodiscard]] scatter_terms termsFor(const http::caller_exchange &exchange,
-                                         const caller_call &call, const route &matched,
-                                         const route_statistics &statistics) const;
+    /** Returns for how long a caller has been waiting when its request arrives. */
+    [[nodiscard]] duration callerWait(const http::caller_exchange &exchange, duration deadline,
+                                      const route &matched,
+                                      const route_statistics &statistics) const;
+    [[nodiscard]] scatter_terms termsFor(time_point arrival, duration callerWait,
+                                         duration deadline, const route &matched) const;
     /** Returns whether a try comes so late that it cannot meet the objective of the first one. */
     static bool isLate(duration firstTry, const route &matched);
 
@@ -116,7 +122,8 @@
     }
 
     void enter(query &asked);
-    [[nodiscard]] duration waitFor(const query &asked) const;
+    [[nodiscard]] duration entryWait(const query &asked) const;
+    [[nodiscard]] duration shardWait(const query &asked) const;
     /** Sends a request if enough shards have room, or gives it up if too few have targets.
         @returns whether it need not wait for room */
     bool admit(query &asked);
--- a/include/mustardcourse/serving/query_service_admission.h
+++ b/include/mustardcourse/serving/query_service_admission.h
@@ -20,20 +20,29 @@
         m_budgets.of(part.service).earn(1);
     if (admit(asked))
         return;
-    asked.waitUntil = m_environment.time.now() + waitFor(asked);
+    asked.waitUntil = m_environment.time.now() + entryWait(asked);
     m_entering.insert(keyOf(asked));
     m_entry.start(query_details::entryInterval);
 }
 
 template <request_format Format>
-duration query_service<Format>::waitFor(const query &asked) const
+duration query_service<Format>::entryWait(const query &asked) const
 {
-    const duration objective = asked.matched->latencyObjective;
+    const time_point now = m_environment.time.now();
     if (!asked.isLateTry)
-        return std::chrono::duration_cast<duration>(m_settings.waitPart * objective);
+        return std::max(asked.refuseBy - now, duration::zero());
     // The caller will not come again, and it still waits.
-    const duration left = asked.progress.terms().end - m_environment.time.now();
-    return std::min(objective, left / 2);
+    const duration left = asked.progress.terms().end - now;
+    return std::min<duration>(asked.matched->latencyObjective, left / 2);
+}
+
+template <request_format Format>
+duration query_service<Format>::shardWait(const query &asked) const
+{
+    if (asked.isLateTry)
+        return entryWait(asked);
+    return std::chrono::duration_cast<duration>(m_settings.shardWaitPart
+                                                * duration(asked.matched->latencyObjective));
 }
 
 template <request_format Format>
@@ -68,7 +77,7 @@
         if (choice.gap == shard_gap::NoTarget)
             asked.progress.giveUp(shard);
         else
-            await(asked, shard, m_environment.time.now() + waitFor(asked));
+            await(asked, shard, m_environment.time.now() + shardWait(asked));
     }
     return true;
 }
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -135,19 +135,25 @@
 }
 
 template <request_format Format>
-scatter_terms query_service<Format>::termsFor(const http::caller_exchange &exchange,
-                                              const caller_call &call, const route &matched,
-                                              const route_statistics &statistics) const
+duration query_service<Format>::callerWait(const http::caller_exchange &exchange, duration deadline,
+                                           const route &matched,
+                                           const route_statistics &statistics) const
 {
-    const duration deadline = call.deadline.value_or(matched.timeout);
     const duration travel = m_settings.callerTravel;
     // A caller that connected for this request has waited for the handshake as well.
     const duration connecting = exchange.isFirstOfConnection() ? 2 * travel : duration::zero();
     // A later try that cannot meet the objective any more is served as if it were the first.
     const duration firstTry = statistics.ageOf(deadline);
     const duration counted = isLate(firstTry, matched) ? duration::zero() : firstTry;
-    const duration age = travel + connecting + counted;
-    const duration untilObjective = matched.latencyObjective - age - travel;
+    return travel + connecting + counted;
+}
+
+template <request_format Format>
+scatter_terms query_service<Format>::termsFor(time_point arrival, duration callerWait,
+                                              duration deadline, const route &matched) const
+{
+    const duration travel = m_settings.callerTravel;
+    const duration untilObjective = matched.latencyObjective - callerWait - travel;
     const duration untilDeadline = deadline - 2 * travel;
     const duration limit = std::min<duration>(matched.timeout, untilDeadline);
     scatter_terms terms;
@@ -155,8 +161,8 @@
     terms.leastAnswers = leastAnswersFor(matched.leastShardShare, terms.shardCount);
     terms.maximumTargets = std::max<std::size_t>(matched.maximumTargets, 1);
     terms.isIdempotent = matched.isIdempotent;
-    terms.cutoff = exchange.arrival() + untilObjective - answerMargin();
-    terms.end = exchange.arrival() + limit - m_settings.answerMargin;
+    terms.cutoff = arrival + untilObjective - answerMargin();
+    terms.end = arrival + limit - m_settings.answerMargin;
     return terms;
 }
 
@@ -167,7 +173,9 @@
     auto statistics = statisticsOf(matched);
     const duration deadline = call.deadline.value_or(matched.timeout);
     statistics->recordDeadline(deadline);
-    const scatter_terms terms = termsFor(*exchange, call, matched, *statistics);
+    const time_point arrival = exchange->arrival();
+    const duration waited = callerWait(*exchange, deadline, matched, *statistics);
+    const scatter_terms terms = termsFor(arrival, waited, deadline, matched);
     const bool isLateTry = isLate(statistics->ageOf(deadline), matched);
     const query_number number = ++m_lastQuery;
     auto created = std::make_unique<query>(number, std::move(call), terms);
@@ -177,7 +185,10 @@
     asked.matched = &matched;
     asked.statistics = std::move(statistics);
     asked.isLateTry = isLateTry;
-    asked.deadline = exchange->arrival() + deadline - 2 * m_settings.callerTravel;
+    asked.deadline = arrival + deadline - 2 * m_settings.callerTravel;
+    const auto refusalTime = std::chrono::duration_cast<duration>(
+        m_settings.refusalPart * duration(matched.latencyObjective));
+    asked.refuseBy = arrival + refusalTime - waited - m_settings.callerTravel - answerMargin();
     asked.exchange = std::move(exchange);
     asked.exchange->onGone([this, number] { abandon(number); });
     asked.timer =
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <fstream>
 #include <optional>
 #include <thread>
 
@@ -368,8 +369,21 @@
     duration took{0};
     std::string id;
     std::string missing;
+    /** Part of the time in which this process, which runs caller, host and targets, was ready to run
+        and the machine ran others. */
+    duration heldBack{0};
 };
 
+/** Returns how long this process has waited for a processor, or zero if the system does not tell. */
+duration processorWait()
+{
+    std::ifstream statistics("/proc/self/schedstat");
+    std::int64_t ran = 0;
+    std::int64_t waited = 0;
+    statistics >> ran >> waited;
+    return std::chrono::nanoseconds(waited);
+}
+
 /** Sends lookups at a steady rate, each on a connection of its own, and returns what callers got.
  */
 std::vector<caller_result> playLoad(platform_fixture &f, const std::string &path, std::size_t count,
@@ -383,13 +397,15 @@
     const std::function<void()> sendOne = [&] {
         const std::string id = fmt::format("{}-{}", path.substr(path.rfind('/') + 1), sent++);
         const time_point began = f.time.now();
+        const duration waitBefore = processorWait();
         http::exchange_request request;
         request.bytes = fmt::format("GET {} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {}\r\n"
                                     "X-Time-Budget-Ms: 800\r\n\r\n",
                                     path, id);
-        request.onEnd = [&, id, began](http::exchange_result &&ended) {
+        request.onEnd = [&, id, began, waitBefore](http::exchange_result &&ended) {
             results.push_back({ended.answer.status, f.time.now() - began, id,
-                               headerOf(ended.answer, "X-Missing-Parts")});
+                               headerOf(ended.answer, "X-Missing-Parts"),
+                               processorWait() - waitBefore});
         };
         pool.send(std::move(request));
     };
@@ -432,6 +448,8 @@
         for (const caller_result &each : results) {
             CAPTURE(each.id);
             CAPTURE(each.status);
+            CAPTURE(each.took.count());
+            CAPTURE(each.heldBack.count());
             const bool isAnswered = each.status == 200;
             inTime += isAnswered && each.took <= objective ? 1 : 0;
             if (item.areAllAnswered)
