Lookups of the own surrounding decide with the scatter of the platform's

Cause: the own surrounding kept its own record of which shards are answered, may be asked again or have ended, beside serving::scatter, which decides the same on the platform. A change of policy reached one of them.

Change: lookup_task carries out what serving::scatter decides: further attempts, the end of a lookup and its coverage, which both now count in registers::coverage. What remains its own is how a shard is reached: through the home of its target, with pinned versions.

Ruled out for now: moving homes onto query_service. Their permits, queues and claims rest on one host that holds them, which the platform's path does not have, and the tests of these promises stay.

--- a/include/mustardcourse/registers/coverage.h
+++ b/include/mustardcourse/registers/coverage.h
@@ -21,6 +21,12 @@
     /** Records the answer of a shard. Returns false if the shard was recorded before. */
     bool record(shard_index index);
 
+    /** Returns whether a shard was recorded. */
+    [[nodiscard]] bool contains(shard_index index) const
+    {
+        return m_isAnswered.at(index.value());
+    }
+
     [[nodiscard]] std::size_t answered() const noexcept { return m_answered; }
     [[nodiscard]] std::size_t expected() const noexcept { return m_isAnswered.size(); }
     [[nodiscard]] bool isComplete() const noexcept { return m_answered == m_isAnswered.size(); }
--- a/include/mustardcourse/serving/scatter.h
+++ b/include/mustardcourse/serving/scatter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mustardcourse/core/clock.h>
+#include <mustardcourse/registers/coverage.h>
 
 #include <cstddef>
 #include <vector>
@@ -67,9 +68,14 @@
     /** Returns whether a second attempt may run beside the first. */
     [[nodiscard]] bool mayHedge(std::size_t shard) const;
 
-    [[nodiscard]] bool isAnswered(std::size_t shard) const { return m_shards[shard].isAnswered; }
+    [[nodiscard]] bool isAnswered(std::size_t shard) const
+    {
+        return m_coverage.contains(indexOf(shard));
+    }
     [[nodiscard]] bool isRunning(std::size_t shard) const { return m_shards[shard].running > 0; }
-    [[nodiscard]] std::size_t answeredCount() const noexcept { return m_answered; }
+    [[nodiscard]] std::size_t answeredCount() const noexcept { return m_coverage.answered(); }
+    /** Returns the shards that have been answered. */
+    [[nodiscard]] const registers::coverage &coverage() const noexcept { return m_coverage; }
 
     /** Returns whether any attempt may have run the request. */
     [[nodiscard]] bool mayHaveRun() const;
@@ -85,16 +91,19 @@
         std::size_t reached = 0;
         /** Attempts that did not reach one. */
         std::size_t unreached = 0;
-        bool isAnswered = false;
         bool isGivenUp = false;
         bool mayHaveRun = false;
     };
 
+    static shard_index indexOf(std::size_t shard)
+    {
+        return shard_index(static_cast<std::uint32_t>(shard));
+    }
     [[nodiscard]] std::size_t openCount() const;
 
     scatter_terms m_terms;
     std::vector<shard_state> m_shards;
-    std::size_t m_answered = 0;
+    registers::coverage m_coverage;
 };
 
 } // namespace mustardcourse::serving
--- a/modules/daemon/lookup_task.cpp
+++ b/modules/daemon/lookup_task.cpp
@@ -14,9 +14,21 @@
 /** Replicas of one shard that a lookup asks at the most. */
 constexpr std::size_t maximumAttempts = 3;
 
-bool isWorthRetrying(shard_failure failure)
+/** What the failure of a shard means for the decision on a further attempt. */
+serving::attempt_end attemptEndOf(shard_failure failure)
 {
-    return failure != shard_failure::TimedOut && failure != shard_failure::None;
+    switch (failure) {
+    case shard_failure::None:
+        return serving::attempt_end::Answered;
+    case shard_failure::Unreachable:
+        return serving::attempt_end::NotSent;
+    case shard_failure::TimedOut:
+        return serving::attempt_end::Lost;
+    case shard_failure::Malformed:
+        return serving::attempt_end::Failed;
+    default:
+        return serving::attempt_end::NotRun;
+    }
 }
 
 } // namespace
@@ -28,7 +40,7 @@
     , m_map(std::move(map))
     , m_deadline(deadline)
     , m_seed(stableHash(m_request.id.value()))
-    , m_coverage(m_map->shardCount())
+    , m_progress(newScatter())
     , m_merger(hitLimit)
     , m_hitLimit(hitLimit)
     , m_shards(m_map->shardCount())
@@ -37,9 +49,19 @@
 
 void lookup_task::taskFailed(kj::Exception &&)
 {
-    // Calls to homes never reject; this is reached only if reading a reply failed.
-    --m_callsUnderWay;
-    finishIfDone();
+    // Calls to homes never reject; this is reached only if reading a reply failed. Its shards count
+    // as running until the deadline.
+}
+
+serving::scatter lookup_task::newScatter() const
+{
+    serving::scatter_terms terms;
+    terms.shardCount = m_map->shardCount();
+    terms.maximumTargets = maximumAttempts;
+    terms.isIdempotent = true;
+    terms.cutoff = m_deadline;
+    terms.end = m_deadline;
+    return serving::scatter(terms);
 }
 
 kj::Promise<lookup_answer> lookup_task::run()
@@ -109,11 +131,12 @@
     std::map<host_id, home_group> groups;
     for (const shard_index shard : shards) {
         const auto copy = choose(shard, view);
-        if (!copy)
-            continue;
-        const auto home = m_entry.homeOf(*copy, view.serving);
-        if (!home)
+        const auto home = copy ? m_entry.homeOf(*copy, view.serving) : std::nullopt;
+        if (!home) {
+            m_progress.giveUp(shard.value());
             continue;
+        }
+        m_progress.noteSent(shard.value());
         m_shards[shard.value()].tried.insert(copy->target);
         home_group &group = groups[home->host];
         group.home = *home;
@@ -121,7 +144,6 @@
     }
     for (auto &[host, group] : groups) {
         const lookup_call call = callFor(group.shards);
-        ++m_callsUnderWay;
         m_tasks.add(m_entry.ask(group.home, call)
                         .then([this, asked = group.shards](std::optional<lookup_reply> &&reply) {
                             onReply(asked, std::move(reply));
@@ -131,41 +153,51 @@
 
 void lookup_task::onReply(const std::vector<shard_call> &asked, std::optional<lookup_reply> reply)
 {
-    --m_callsUnderWay;
     if (m_isFinished)
         return;
-    std::vector<shard_index> retries;
-    if (!reply) {
-        for (const shard_call &part : asked) {
-            m_shards[part.shard.value()].lastFailure = shard_failure::Unreachable;
-            retries.push_back(part.shard);
-        }
-    } else {
+    std::set<shard_index> open;
+    for (const shard_call &part : asked)
+        open.insert(part.shard);
+    if (reply) {
         m_targetCalls += reply->targetCalls;
-        for (shard_reply &part : reply->shards)
-            onShard(std::move(part), retries);
+        for (shard_reply &part : reply->shards) {
+            if (open.erase(part.shard) > 0)
+                onShard(std::move(part));
+        }
+    }
+    for (const shard_index shard : open)
+        noteFailure(shard, shard_failure::Unreachable);
+    std::vector<shard_index> unanswered;
+    for (const shard_call &part : asked) {
+        if (!m_progress.isAnswered(part.shard.value()))
+            unanswered.push_back(part.shard);
     }
-    retry(retries);
+    retry(unanswered);
     finishIfDone();
 }
 
-void lookup_task::onShard(shard_reply reply, std::vector<shard_index> &retries)
+void lookup_task::onShard(shard_reply reply)
 {
-    if (reply.shard.value() >= m_shards.size())
-        return;
     if (!reply.held.empty())
         m_entry.m_directory.report(reply.target, reply.held);
     if (reply.failure == shard_failure::None) {
-        if (m_coverage.record(reply.shard))
-            m_merger.add(std::move(reply.hits));
+        m_progress.noteEnd(reply.shard.value(), serving::attempt_end::Answered);
+        m_merger.add(std::move(reply.hits));
         return;
     }
     m_entry.m_metrics.countShardFailure(std::string(nameOf(reply.failure)));
-    m_shards[reply.shard.value()].lastFailure = reply.failure;
     if (reply.failure == shard_failure::TargetLeaving)
         m_entry.noteLeaving(reply.target);
-    if (isWorthRetrying(reply.failure))
-        retries.push_back(reply.shard);
+    noteFailure(reply.shard, reply.failure);
+}
+
+void lookup_task::noteFailure(shard_index shard, shard_failure failure)
+{
+    m_shards[shard.value()].lastFailure = failure;
+    m_progress.noteEnd(shard.value(), attemptEndOf(failure));
+    // Its time was the time of the whole lookup.
+    if (failure == shard_failure::TimedOut)
+        m_progress.giveUp(shard.value());
 }
 
 void lookup_task::retry(const std::vector<shard_index> &shards)
@@ -175,9 +207,12 @@
     const routing_view view = viewNow();
     std::vector<shard_index> allowed;
     for (const shard_index shard : shards) {
-        const bool isExhausted = m_shards[shard.value()].tried.size() >= maximumAttempts;
-        if (isExhausted || !choose(shard, view) || !m_entry.m_retries.trySpend())
+        const bool isAllowed = m_progress.mayRetry(shard.value()) && choose(shard, view)
+            && m_entry.m_retries.trySpend();
+        if (!isAllowed) {
+            m_progress.giveUp(shard.value());
             continue;
+        }
         m_entry.m_metrics.retries.Increment();
         allowed.push_back(shard);
     }
@@ -190,14 +225,14 @@
         std::any_of(m_shards.begin(), m_shards.end(), [](const shard_progress &progress) {
             return progress.lastFailure == shard_failure::VersionGone;
         });
-    if (m_isRestarted || !isVersionGone || m_coverage.isComplete())
+    if (m_isRestarted || !isVersionGone || m_progress.coverage().isComplete())
         return false;
     if (m_entry.m_directory.choose(*m_map) <= m_version)
         return false;
     if (!m_entry.m_retries.trySpend())
         return false;
     m_isRestarted = true;
-    m_coverage = registers::coverage(m_map->shardCount());
+    m_progress = newScatter();
     m_merger = hit_merger(m_hitLimit);
     m_shards.assign(m_map->shardCount(), {});
     start();
@@ -206,7 +241,9 @@
 
 void lookup_task::finishIfDone()
 {
-    if (m_isFinished || m_callsUnderWay > 0)
+    const bool isDone =
+        m_progress.verdict(m_entry.m_clock.now()) != serving::scatter_verdict::Wait;
+    if (m_isFinished || !isDone)
         return;
     if (restartOnNewerSnapshot())
         return;
@@ -223,11 +260,11 @@
         m_version == index_version() ? lookup_outcome::NoSnapshot : lookup_outcome::Answered;
     answer.mapRevision = m_map->settingsRevision();
     answer.version = m_version;
-    answer.answered = m_coverage.answered();
-    answer.expected = m_coverage.expected();
-    for (const shard_index shard : m_coverage.missing()) {
+    answer.answered = m_progress.coverage().answered();
+    answer.expected = m_progress.coverage().expected();
+    for (const shard_index shard : m_progress.coverage().missing()) {
         shard_failure reason = m_shards[shard.value()].lastFailure;
-        if (m_callsUnderWay > 0 && reason == shard_failure::NotServed)
+        if (m_progress.isRunning(shard.value()) && reason == shard_failure::NotServed)
             reason = shard_failure::TimedOut;
         answer.missing.push_back({shard, reason});
     }
--- a/modules/daemon/lookup_task.h
+++ b/modules/daemon/lookup_task.h
@@ -3,12 +3,16 @@
 #include "entry.h"
 
 #include <mustardcourse/routing/replica_choice.h>
+#include <mustardcourse/serving/scatter.h>
 
 namespace mustardcourse::daemon {
 
 /**
     One lookup under way: the fan-out over homes, repeated calls, and the merge.
 
+    What may be repeated, what counts as answered, and when the lookup ends is decided as on the
+    platform. @see serving::scatter
+
     The snapshot is pinned once. If too many targets no longer hold it, the whole lookup starts
     again on a newer one; answers of two snapshots are never merged.
 */
@@ -44,7 +48,9 @@
     requests::lookup_call callFor(std::vector<requests::shard_call> shards) const;
     void onReply(const std::vector<requests::shard_call> &asked,
                  std::optional<requests::lookup_reply> reply);
-    void onShard(requests::shard_reply reply, std::vector<shard_index> &retries);
+    void onShard(requests::shard_reply reply);
+    void noteFailure(shard_index shard, requests::shard_failure failure);
+    [[nodiscard]] serving::scatter newScatter() const;
     void retry(const std::vector<shard_index> &shards);
     bool restartOnNewerSnapshot();
     void finishIfDone();
@@ -56,11 +62,10 @@
     time_point m_deadline;
     std::uint64_t m_seed;
     index_version m_version;
-    registers::coverage m_coverage;
+    serving::scatter m_progress;
     requests::hit_merger m_merger;
     std::size_t m_hitLimit;
     std::vector<shard_progress> m_shards;
-    std::size_t m_callsUnderWay = 0;
     std::uint32_t m_targetCalls = 0;
     bool m_isRestarted = false;
     bool m_isFinished = false;
--- a/modules/serving/scatter.cpp
+++ b/modules/serving/scatter.cpp
@@ -23,6 +23,7 @@
 scatter::scatter(const scatter_terms &terms)
     : m_terms(terms)
     , m_shards(terms.shardCount)
+    , m_coverage(terms.shardCount)
 { }
 
 void scatter::noteSent(std::size_t shard)
@@ -37,8 +38,7 @@
     --state.running;
     switch (end) {
     case attempt_end::Answered:
-        m_answered += state.isAnswered ? 0 : 1;
-        state.isAnswered = true;
+        m_coverage.record(indexOf(shard));
         state.mayHaveRun = true;
         break;
     case attempt_end::Failed:
@@ -62,7 +62,7 @@
 bool scatter::mayRetry(std::size_t shard) const
 {
     const shard_state &state = m_shards[shard];
-    if (state.isAnswered || state.isGivenUp || state.running > 0)
+    if (isAnswered(shard) || state.isGivenUp || state.running > 0)
         return false;
     if (state.mayHaveRun && !m_terms.isIdempotent)
         return false;
@@ -72,7 +72,7 @@
 bool scatter::mayHedge(std::size_t shard) const
 {
     const shard_state &state = m_shards[shard];
-    return m_terms.isIdempotent && !state.isAnswered && state.running == 1
+    return m_terms.isIdempotent && !isAnswered(shard) && state.running == 1
         && state.reached < m_terms.maximumTargets;
 }
 
@@ -85,19 +85,22 @@
 
 std::size_t scatter::openCount() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_shards.begin(), m_shards.end(), [](const shard_state &state) {
-            return !state.isAnswered && (!state.isGivenUp || state.running > 0);
-        }));
+    std::size_t open = 0;
+    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
+        const shard_state &state = m_shards[shard];
+        const bool isOpen = !isAnswered(shard) && (!state.isGivenUp || state.running > 0);
+        open += isOpen ? 1 : 0;
+    }
+    return open;
 }
 
 scatter_verdict scatter::verdict(time_point now) const
 {
     const std::size_t open = openCount();
-    const bool isEnough = m_answered >= m_terms.leastAnswers;
+    const bool isEnough = answeredCount() >= m_terms.leastAnswers;
     if (open == 0 || now >= m_terms.end)
         return isEnough ? scatter_verdict::Answer : scatter_verdict::Fail;
-    if (m_answered + open < m_terms.leastAnswers)
+    if (answeredCount() + open < m_terms.leastAnswers)
         return scatter_verdict::Fail;
     if (isEnough && now >= m_terms.cutoff)
         return scatter_verdict::Answer;
