--- a/include/mustardcourse/registers/coverage.h
+++ b/include/mustardcourse/registers/coverage.h
@@ -22,10 +22,7 @@
     bool record(shard_index index);
 
     /** Returns whether a shard was recorded. */
-    [[nodiscard]] bool contains(shard_index index) const
-    {
-        return m_isAnswered.at(index.value());
-    }
+    [[nodiscard]] bool contains(shard_index index) const { return m_isAnswered.at(index.value()); }
 
     [[nodiscard]] std::size_t answered() const noexcept { return m_answered; }
     [[nodiscard]] std::size_t expected() const noexcept { return m_isAnswered.size(); }
