Second attempts spend what the budget holds; sparse observations weigh more; unknown latencies come from objectives

Change: a window from the 86th percentile (budget well filled) to the usual time; what requests earn is spent whole, as each host counts its own; hosts with a small reserve keep nothing back. An observation weighs what was forgotten since the last, up to a half. Fallbacks are parts of the route's objective.

--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -50,7 +50,10 @@
     /** The latest failure of a single target, which is passed on if nothing better comes. */
     std::optional<target_answer> failure;
     time_point deadline;
-    /** When second attempts are sent; never, if it is the greatest time. */
+    /** When the first attempts were sent, and when second ones may run beside them. */
+    time_point sentAt;
+    hedge_window hedging;
+    /** When second attempts are looked at next; never, if it is the greatest time. */
     time_point hedgeAt = time_point::max();
     /** When a refusal has to leave to be of use to the caller. */
     time_point refuseBy;
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -108,8 +108,8 @@
     [[nodiscard]] duration callerWait(const http::caller_exchange &exchange, duration deadline,
                                       const route &matched,
                                       const route_statistics &statistics) const;
-    [[nodiscard]] scatter_terms termsFor(time_point arrival, duration callerWait,
-                                         duration deadline, const route &matched) const;
+    [[nodiscard]] scatter_terms termsFor(time_point arrival, duration callerWait, duration deadline,
+                                         const route &matched) const;
     /** Returns whether a try comes so late that it cannot meet the objective of the first one. */
     static bool isLate(duration firstTry, const route &matched);
 
@@ -137,6 +137,8 @@
     void noteEvidence(const attempt &ended, target_evidence evidence);
     void takeAnswer(const attempt &ended, attempt_end end, std::optional<target_answer> answer);
     void retry(query &asked, std::size_t shard);
+    /** Returns the part of a budget that second attempts have to leave. @see hedge_window */
+    static double keptFromHedges(const limits::retry_budget &budget, double progress);
     void hedge(query &asked);
     void settle(query &asked);
     void schedule(query &asked);
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -177,18 +177,29 @@
     asked.progress.giveUp(shard);
 }
 
+template <request_format Format>
+double query_service<Format>::keptFromHedges(const limits::retry_budget &budget, double progress)
+{
+    using namespace query_details;
+    const double usual =
+        std::clamp(reservePartKept * (budget.reserve() - 2), 0.0, mostAttemptsKept);
+    const double rest = std::max(budget.reserve() - 1 - usual, 0.0);
+    return usual + (1 - progress) * earlyReservePart * rest;
+}
+
 template <request_format Format>
 void query_service<Format>::hedge(query &asked)
 {
     const time_point now = m_environment.time.now();
+    const double progress = asked.hedging.progressAt(now - asked.sentAt);
     bool isAnyLeft = false;
     for (std::size_t shard = 0; shard < asked.shards.size(); ++shard) {
         if (!asked.progress.mayHedge(shard))
             continue;
         limits::retry_budget &budget = m_budgets.of(asked.shards[shard].service);
-        const double kept = std::min(1.0, query_details::budgetKept * budget.reserve());
-        if (!budget.trySpend(kept)) {
-            m_environment.metrics.budgetDenials.Increment();
+        if (!budget.trySpend(keptFromHedges(budget, progress))) {
+            if (progress >= 1)
+                m_environment.metrics.budgetDenials.Increment();
             isAnyLeft = true;
             continue;
         }
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -14,9 +14,13 @@
 constexpr std::chrono::milliseconds hedgeInterval{6};
 /** Interval at which waiting requests look for room again. */
 constexpr std::chrono::milliseconds entryInterval{4};
-/** Part of the reserve that second attempts leave to attempts that failed, but one attempt at the
-    most; of a small reserve, as where many hosts share the bound, it is less. */
-constexpr double budgetKept = 0.2;
+/** Most attempts of the budget that second attempts leave to attempts that failed. */
+constexpr double mostAttemptsKept = 1;
+/** Part that they leave of what a reserve holds beyond two attempts: where many hosts share a
+   bound, each has little, and what it keeps it mostly loses. */
+constexpr double reservePartKept = 0.25;
+/** Part of the rest that has to be there for the earliest second attempts. */
+constexpr double earlyReservePart = 0.5;
 /** Part of the timers that run no later than what is reckoned with. */
 constexpr double lagQuantile = 0.9;
 /** One in this number of successes is logged. */
@@ -130,7 +134,7 @@
 {
     std::shared_ptr<route_statistics> &known = m_statistics[matched.name];
     if (!known)
-        known = std::make_shared<route_statistics>();
+        known = std::make_shared<route_statistics>(matched.latencyObjective);
     return known;
 }
 
@@ -201,8 +205,11 @@
         asked.shards.push_back({service, {}, {}, shard_gap::Late});
     }
     const time_point now = m_environment.time.now();
-    if (terms.isIdempotent && terms.maximumTargets > 1)
-        asked.hedgeAt = now + asked.statistics->hedgeDelay(terms.cutoff - now);
+    if (terms.isIdempotent && terms.maximumTargets > 1) {
+        asked.sentAt = now;
+        asked.hedging = asked.statistics->hedgeWindow(terms.cutoff - now);
+        asked.hedgeAt = now + asked.hedging.earliest;
+    }
     enter(asked);
     settle(asked);
 }
--- a/include/mustardcourse/serving/route_statistics.h
+++ b/include/mustardcourse/serving/route_statistics.h
@@ -5,10 +5,28 @@
 
 namespace mustardcourse::serving {
 
+/**
+    When a second attempt runs beside a first one.
+
+    It is sent from the earliest time on while the retry budget is full, and from the usual time on
+   in any case, so that the budget is spent where it does most and never runs dry.
+*/
+struct hedge_window
+{
+    duration earliest{0};
+    duration usual{0};
+
+    /** Returns how far a time is from the earliest to the usual one, from 0 to 1. */
+    [[nodiscard]] double progressAt(duration sinceFirst) const;
+};
+
 /** What a host has learned of the requests of one route. */
 class route_statistics
 {
 public:
+    /** @param objective  the route's latency objective, which stands for what is not known yet */
+    explicit route_statistics(duration objective);
+
     /** Notes the latency of one answered attempt. */
     void recordAttempt(duration latency);
 
@@ -19,12 +37,11 @@
     [[nodiscard]] duration usualLatency() const noexcept { return m_usual; }
 
     /**
-        Returns how long to wait for a first attempt before a second one runs beside it.
+        Returns when a second attempt may run beside a first one, counted from that one.
 
-        It is late enough that few attempts are doubled, and early enough that the second one still
-        ends within the time that is left.
+        @param timeLeft  from the first attempt to the time at which the answer is due
     */
-    [[nodiscard]] duration hedgeDelay(duration timeLeft) const;
+    [[nodiscard]] hedge_window hedgeWindow(duration timeLeft) const;
 
     /** Returns how long ago the caller first tried, taken from what it gives to this try. */
     [[nodiscard]] duration ageOf(duration deadline) const;
@@ -33,7 +50,8 @@
 
 private:
     latency_histogram m_attempts;
-    duration m_usual = std::chrono::milliseconds(10);
+    duration m_objective;
+    duration m_usual;
     std::size_t m_recordedSinceUpdate = 0;
     duration m_longestDeadline{0};
 };
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -127,6 +127,7 @@
 
 private:
     [[nodiscard]] double occupancy(duration expected, time_point now) const;
+    [[nodiscard]] double weightOfObservation(time_point now) const;
 
     target_registration m_registration;
     time_point m_coldUntil;
--- a/modules/serving/latency_histogram.cpp
+++ b/modules/serving/latency_histogram.cpp
@@ -14,7 +14,7 @@
 /** Observations after which the older ones lose half of their weight. */
 constexpr float windowWeight = 1000;
 /** Observations that make a quantile meaningful. */
-constexpr float leastWeight = 20;
+constexpr float leastWeight = 10;
 
 } // namespace
 
--- a/modules/serving/retry_budgets.cpp
+++ b/modules/serving/retry_budgets.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Part of the shared bound that is spent, so that a moment of differing views does not break it.
- */
+/** Part of the shared constant that is spent, so that a moment of differing views does not break
+   the bound. What requests earn needs none kept back: each host counts its own. */
 constexpr double spentPart = 0.8;
 /** Part of the reserve that a host has at its start; a restarted host has spent some before. */
 constexpr double initialPart = 0.25;
@@ -45,7 +45,7 @@
     if (found != m_budgets.end())
         return found->second;
     const double initial = std::max(leastInitial, initialPart * reserve());
-    limits::retry_budget budget(spentPart * m_terms.ratio, reserve(), initial);
+    limits::retry_budget budget(m_terms.ratio, reserve(), initial);
     return m_budgets.emplace(service, budget).first->second;
 }
 
--- a/modules/serving/route_statistics.cpp
+++ b/modules/serving/route_statistics.cpp
@@ -12,18 +12,31 @@
 constexpr double hedgeQuantile = 0.93;
 /** Part of the attempts that end before a second one is sent however little time is left: doubling
     more would spend the shared budget at once. */
-constexpr double earliestQuantile = 0.8;
+constexpr double earliestQuantile = 0.86;
 /** Part of second attempts that should end in the time that is left for them. */
 constexpr double secondAttemptQuantile = 0.9;
-/** Until enough attempts have been seen. */
-constexpr milliseconds initialHedgeDelay{25};
+/** Parts of the objective that stand for the usual latency and for that of slow attempts until
+   enough have been seen: a target that is meant to meet an objective is well within it. */
+constexpr double initialUsualPart = 0.15;
+constexpr double initialSlowPart = 0.3;
 /** A second attempt before this would only race with the network. */
 constexpr milliseconds leastHedgeDelay{4};
-/** Attempts between two updates of the median, which reads all buckets. */
-constexpr std::size_t attemptsPerUpdate = 32;
+/** Attempts between two updates of the median, which reads all buckets; a route that is asked for
+    rarely still has one within seconds. */
+constexpr std::size_t attemptsPerUpdate = 8;
+
+duration scaled(duration length, double factor)
+{
+    return std::chrono::duration_cast<duration>(length * factor);
+}
 
 } // namespace
 
+route_statistics::route_statistics(duration objective)
+    : m_objective(objective)
+    , m_usual(scaled(objective, initialUsualPart))
+{ }
+
 void route_statistics::recordAttempt(duration latency)
 {
     m_attempts.record(latency);
@@ -38,13 +51,24 @@
     m_longestDeadline = std::max(m_longestDeadline, deadline);
 }
 
-duration route_statistics::hedgeDelay(duration timeLeft) const
+hedge_window route_statistics::hedgeWindow(duration timeLeft) const
+{
+    const duration unknown = scaled(m_objective, initialSlowPart);
+    const duration usual = m_attempts.quantile(hedgeQuantile, unknown);
+    const duration second = m_attempts.quantile(secondAttemptQuantile, unknown);
+    const duration earliest =
+        std::max<duration>(m_attempts.quantile(earliestQuantile, unknown), leastHedgeDelay);
+    return {earliest, std::max(std::min(usual, timeLeft - second), earliest)};
+}
+
+double hedge_window::progressAt(duration sinceFirst) const
 {
-    const duration usual = m_attempts.quantile(hedgeQuantile, initialHedgeDelay);
-    const duration second = m_attempts.quantile(secondAttemptQuantile, initialHedgeDelay);
-    const duration latest = timeLeft - second;
-    const duration earliest = m_attempts.quantile(earliestQuantile, leastHedgeDelay);
-    return std::max({std::min(usual, latest), earliest, duration(leastHedgeDelay)});
+    if (sinceFirst >= usual)
+        return 1;
+    if (sinceFirst <= earliest)
+        return 0;
+    return std::chrono::duration<double>(sinceFirst - earliest)
+        / std::chrono::duration<double>(usual - earliest);
 }
 
 duration route_statistics::ageOf(duration deadline) const
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -11,8 +11,10 @@
 
 using std::chrono::milliseconds;
 
-/** Weight of one observation in the averages; some ten calls show a change. */
+/** Least weight of one observation in the averages; some ten calls show a change. */
 constexpr double observationWeight = 0.15;
+/** Most weight of one observation, after a long time without any: one may be chance. */
+constexpr double soleObservationWeight = 0.5;
 /** Time in which half of a target's slowness is forgotten, so that it is tried again. */
 constexpr std::chrono::duration<double> slownessHalfLife{2.0};
 /** Bounds of the slowness of one observation; one straggler must not outweigh all others. */
@@ -101,17 +103,26 @@
     const double usual = std::max(std::chrono::duration<double>(expected).count(), 1e-4);
     const double observed = std::clamp(took / usual, leastSlowness, mostSlowness);
     const double known = slowness(now);
+    const double weight = weightOfObservation(now);
     if (evidence == target_evidence::Cancelled) {
         // It took at least so long, so only a longer time than known is news.
-        m_slowness = observed > known ? known + observationWeight * (observed - known) : known;
+        m_slowness = observed > known ? known + weight * (observed - known) : known;
     } else {
-        m_slowness = known + observationWeight * (observed - known);
+        m_slowness = known + weight * (observed - known);
         m_failuresInRow = 0;
         m_avoidedUntil = now;
     }
     m_slownessAt = now;
 }
 
+double target::weightOfObservation(time_point now) const
+{
+    // A host that asks a target rarely has to learn from few observations.
+    const std::chrono::duration<double> sinceLast = now - m_slownessAt;
+    const double forgotten = 1 - std::exp2(-sinceLast / slownessHalfLife);
+    return std::clamp(forgotten, observationWeight, soleObservationWeight);
+}
+
 void target::noteLoad(const reported_load &load, time_point now)
 {
     m_load = load;
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -112,13 +112,47 @@
         {"little time", 16ms, 4ms, 12ms},
         {"none", 0ms, 4ms, 12ms},
     };
-    route_statistics statistics;
+    route_statistics statistics(150ms);
     for (int i = 0; i < 500; ++i)
         statistics.recordAttempt(i % 20 == 0 ? 100ms : 6ms);
     for (const row &item : rows) {
         CAPTURE(item.name);
-        const duration delay = statistics.hedgeDelay(item.timeLeft);
-        CHECK(delay >= item.least - 5ms);
-        CHECK(delay <= item.most);
+        const hedge_window window = statistics.hedgeWindow(item.timeLeft);
+        CHECK(window.usual >= item.least - 5ms);
+        CHECK(window.usual <= item.most);
+        CHECK(window.earliest >= 4ms);
+        CHECK(window.earliest <= window.usual);
+    }
+}
+
+TEST_CASE("second attempts come from the earliest to the usual time")
+{
+    struct row
+    {
+        std::string name;
+        duration sinceFirst;
+        double progress;
+    };
+    const hedge_window window{10ms, 30ms};
+    const row rows[] = {
+        {"too early", 4ms, 0}, {"earliest", 10ms, 0}, {"between", 20ms, 0.5},
+        {"usual", 30ms, 1},    {"later", 90ms, 1},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        CHECK(window.progressAt(item.sinceFirst) == doctest::Approx(item.progress));
+    }
+}
+
+TEST_CASE("what is not known of a route yet is taken from its objective")
+{
+    for (const duration objective : {duration(40ms), duration(800ms)}) {
+        CAPTURE(objective.count());
+        const route_statistics statistics(objective);
+        CHECK(statistics.usualLatency() > objective / 10);
+        CHECK(statistics.usualLatency() < objective / 4);
+        const hedge_window window = statistics.hedgeWindow(objective);
+        CHECK(window.earliest > statistics.usualLatency());
+        CHECK(window.usual < objective / 2);
     }
 }
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -285,3 +285,30 @@
         CHECK(spent >= std::size_t(terms.extra / 2));
     }
 }
+
+TEST_CASE("a host that asks a target rarely learns its speed from one request")
+{
+    struct row
+    {
+        std::string name;
+        duration sinceLast;
+        double least;
+        double most;
+    };
+    const row rows[] = {
+        {"asked all the time", 20ms, 1.2, 2.6},
+        {"asked once in four seconds", 4s, 3.5, 5.5},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        f.directory.update(registered("a"));
+        f.finish("a", target_evidence::Success, usual);
+        f.time.advance(item.sinceLast);
+        // Eight times the usual latency.
+        f.finish("a", target_evidence::Success, 8 * usual);
+        const double learned = f.directory.find(instance_id("a"))->slowness(f.time.now());
+        CHECK(learned >= item.least);
+        CHECK(learned <= item.most);
+    }
+}
