One host of a large data centre follows the store for the others

Change: where a data centre has six hosts or more, all choose the same one by rendezvous hashing over the members (relayOf). The others ask it for what came after their revision; it answers at the end of its own watch, so that an answer is as fresh as the store's (change_relay, change_log, batches in Cap'n Proto). A relay that is silent for 2 s, refuses, lacks the changes or has lost the store is left for 10 s, and the host asks the store itself, shortly at first (relayed_store). No host depends on another for more than those 2 s; the platform allows 3 s.

--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -66,6 +66,9 @@
     client_pool(const client_pool &) = delete;
     client_pool &operator=(const client_pool &) = delete;
 
+    /** Returns whether a request would be sent on a kept connection. */
+    [[nodiscard]] bool hasIdle() const { return idleConnection(std::chrono::hours(1)) != nullptr; }
+
     /** Returns whether a request can be sent now, on a kept or a new connection. */
     [[nodiscard]] bool hasRoom() const;
 
@@ -81,6 +84,7 @@
     /** Closes the connections that have carried no exchange for a time. */
     void closeIdle(duration idleTime = duration::zero());
 
+    [[nodiscard]] const endpoint &peer() const noexcept { return m_peer; }
     [[nodiscard]] std::size_t openConnections() const noexcept;
     [[nodiscard]] std::size_t busyConnections() const noexcept;
     [[nodiscard]] std::uint64_t dialCount() const noexcept { return m_dials; }
@@ -88,7 +92,7 @@
 private:
     class connection;
 
-    connection *idleConnection(duration longestIdle);
+    [[nodiscard]] connection *idleConnection(duration longestIdle) const;
     void remove(const connection &closed);
 
     net::loop &m_loop;
--- a/include/mustardcourse/settings/ini_document.h
+++ b/include/mustardcourse/settings/ini_document.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -130,6 +131,9 @@
     /** Returns an address and port. @throws settings_error */
     endpoint address(std::string_view key);
 
+    /** Returns an address and port, or nothing if the key is missing. @throws settings_error */
+    std::optional<endpoint> optionalAddress(std::string_view key);
+
     /** Returns the parts of a comma-separated value, trimmed. @throws settings_error */
     std::vector<std::string> list(std::string_view key);
 
--- a/include/mustardcourse/settings/serving_settings.h
+++ b/include/mustardcourse/settings/serving_settings.h
@@ -6,6 +6,7 @@
 #include <mustardcourse/settings/ini_document.h>
 
 #include <chrono>
+#include <optional>
 
 namespace mustardcourse::settings {
 
@@ -17,6 +18,8 @@
     endpoint callerListen;
     endpoint readinessListen;
     endpoint metricsListen;
+    /** Where this host passes changes of the store on to others; nothing if it does not. */
+    std::optional<endpoint> relayListen;
     endpoint store;
     log_level logLevel = log_level::Info;
 
--- a/modules/settings/ini_document.cpp
+++ b/modules/settings/ini_document.cpp
@@ -328,6 +328,11 @@
     }
 }
 
+std::optional<endpoint> section_reader::optionalAddress(std::string_view key)
+{
+    return take(key) == nullptr ? std::nullopt : std::optional(address(key));
+}
+
 std::vector<std::string> section_reader::list(std::string_view key)
 {
     const std::string value = text(key);
--- a/modules/settings/serving_settings.cpp
+++ b/modules/settings/serving_settings.cpp
@@ -21,6 +21,11 @@
     if (settings.metricsListen == settings.callerListen
         || settings.metricsListen == settings.readinessListen)
         listen.fail(settings_fault::Inconsistent, "metrics", "the address is used twice");
+    settings.relayListen = listen.optionalAddress("relay");
+    const auto &relay = settings.relayListen;
+    if (relay == settings.callerListen || relay == settings.readinessListen
+        || relay == settings.metricsListen)
+        listen.fail(settings_fault::Inconsistent, "relay", "the address is used twice");
     listen.finish();
 }
 
--- /dev/null
+++ b/modules/store/change_batch.capnp
@@ -0,0 +1,17 @@
+@0xd3f1c0a7e5b94216;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("mustardcourse::rpc");
+
+# Changes of the store that one host passes on to another.
+struct ChangeBatch {
+  current @0 :UInt64;
+  items @1 :List(Item);
+
+  struct Item {
+    key @0 :Text;
+    value @1 :Data;
+    changed @2 :UInt64;
+    isDeleted @3 :Bool;
+  }
+}
--- /dev/null
+++ b/modules/store/change_log.cpp
@@ -0,0 +1,116 @@
+#include <mustardcourse/store/change_log.h>
+
+#include <change_batch.capnp.h>
+
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace mustardcourse::store {
+
+namespace {
+
+/** Changes that are kept: what a fleet of some hundred targets and hosts writes within seconds. */
+constexpr std::size_t mostItems = 512;
+/** Bytes that are kept, so that a storm of large configurations does not fill a small host. */
+constexpr std::size_t mostBytes = std::size_t{2} * 1024 * 1024;
+
+std::size_t sizeOf(const store_item &item)
+{
+    return item.key.size() + item.value.size();
+}
+
+} // namespace
+
+void change_log::append(revision since, const store_batch &changes)
+{
+    const bool isGap = m_isEmpty || since > m_current;
+    if (isGap) {
+        m_items.clear();
+        m_bytes = 0;
+        m_begin = since;
+        m_current = since;
+        m_isEmpty = false;
+    }
+    for (const store_item &item : changes.items) {
+        if (item.changed <= m_current)
+            continue;
+        m_items.push_back(item);
+        m_bytes += sizeOf(item);
+    }
+    m_current = std::max(m_current, changes.current);
+    while (m_items.size() > mostItems || m_bytes > mostBytes)
+        dropOldest();
+}
+
+void change_log::dropOldest()
+{
+    m_begin = m_items.front().changed;
+    m_bytes -= sizeOf(m_items.front());
+    m_items.pop_front();
+    // Changes of one transaction share a revision and are only useful together.
+    while (!m_items.empty() && m_items.front().changed == m_begin) {
+        m_bytes -= sizeOf(m_items.front());
+        m_items.pop_front();
+    }
+}
+
+std::optional<store_batch> change_log::changesSince(revision since) const
+{
+    if (m_isEmpty || since < m_begin)
+        return std::nullopt;
+    store_batch batch;
+    batch.current = std::max(since, m_current);
+    const auto first = std::find_if(m_items.begin(), m_items.end(),
+                                    [&](const store_item &item) { return item.changed > since; });
+    batch.items.assign(first, m_items.end());
+    return batch;
+}
+
+std::string encodeBatch(const store_batch &batch)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<rpc::ChangeBatch>();
+    root.setCurrent(batch.current.value());
+    auto items = root.initItems(static_cast<unsigned>(batch.items.size()));
+    for (unsigned i = 0; i < items.size(); ++i) {
+        const store_item &item = batch.items[i];
+        auto written = items[i];
+        written.setKey(item.key);
+        written.setValue(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(item.value.data()), item.value.size()));
+        written.setChanged(item.changed.value());
+        written.setIsDeleted(item.isDeleted);
+    }
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+store_batch decodeBatch(const std::string &bytes)
+{
+    store_batch batch;
+    // The reader needs words that are aligned.
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), bytes.data(), words.asBytes().size());
+    try {
+        capnp::FlatArrayMessageReader message(words);
+        const auto root = message.getRoot<rpc::ChangeBatch>();
+        batch.current = revision(root.getCurrent());
+        for (const auto item : root.getItems()) {
+            const auto value = item.getValue();
+            batch.items.push_back({item.getKey().cStr(),
+                                   {reinterpret_cast<const char *>(value.begin()), value.size()},
+                                   revision(item.getChanged()),
+                                   item.getIsDeleted()});
+        }
+    } catch (const kj::Exception &) {
+        batch = {};
+        batch.failure = store_failure::Malformed;
+    }
+    return batch;
+}
+
+} // namespace mustardcourse::store
--- /dev/null
+++ b/modules/store/relay_choice.cpp
@@ -0,0 +1,56 @@
+#include <mustardcourse/store/relay_choice.h>
+
+#include <mustardcourse/core/errors.h>
+#include <mustardcourse/core/hash.h>
+
+namespace mustardcourse::store {
+
+namespace {
+
+/** Members of a data centre from which on one of them asks for all. A relay asks the store about
+    four times as often as a host does for itself alone. */
+constexpr std::size_t leastMembers = 6;
+
+} // namespace
+
+std::string encodeMember(const member_entry &entry)
+{
+    const std::string &dataCentre = entry.dataCentre.value();
+    return entry.relay ? dataCentre + " " + entry.relay->toString() : dataCentre;
+}
+
+member_entry decodeMember(const std::string &text)
+{
+    const auto space = text.find(' ');
+    member_entry entry;
+    entry.dataCentre = data_centre_id(text.substr(0, space));
+    if (space == std::string::npos)
+        return entry;
+    try {
+        entry.relay = endpoint::parse(std::string_view(text).substr(space + 1));
+    } catch (const malformed_endpoint_error &) {
+        // The key may come from another release; the host still counts as a member.
+        entry.relay.reset();
+    }
+    return entry;
+}
+
+std::optional<std::string> relayOf(const member_entries &members, const data_centre_id &dataCentre)
+{
+    std::size_t count = 0;
+    std::optional<std::string> best;
+    std::uint64_t bestRank = 0;
+    for (const auto &[host, entry] : members) {
+        if (entry.dataCentre != dataCentre || !entry.relay)
+            continue;
+        ++count;
+        const std::uint64_t rank = stableHash(host);
+        if (best && rank < bestRank)
+            continue;
+        best = host;
+        bestRank = rank;
+    }
+    return count < leastMembers ? std::nullopt : best;
+}
+
+} // namespace mustardcourse::store
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -14,8 +14,11 @@
 
 generated=$(mktemp -d)
 trap 'rm -rf "$generated"' EXIT
-capnp compile -oc++:"$generated" --src-prefix=modules/wire modules/wire/node.capnp
-diff -r "$generated" modules/wire/generated
+for folder in modules/wire modules/store; do
+    mkdir "$generated/$(basename "$folder")"
+    capnp compile -oc++:"$generated/$(basename "$folder")" "--src-prefix=$folder" "$folder"/*.capnp
+    diff -r "$generated/$(basename "$folder")" "$folder/generated"
+done
 
 # The tests' macros are not written for the linter, so only the product's sources are checked.
 git ls-files 'modules/*.cpp' 'platform/*.cpp' 'apps/*.cpp' 'standins/*.cpp' \
--- a/scripts/generate-rpc.sh
+++ b/scripts/generate-rpc.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Regenerates the committed Cap'n Proto sources from modules/wire/node.capnp.
+# Regenerates the committed Cap'n Proto sources from their schemas.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-capnp compile -oc++:modules/wire/generated --src-prefix=modules/wire modules/wire/node.capnp
+for folder in modules/wire modules/store; do
+    capnp compile "-oc++:$folder/generated" "--src-prefix=$folder" "$folder"/*.capnp
+done
