A kept connection counts in the choice of a target

Change: a target to which a connection would have to be opened costs 10 ms more in the choice, so that a host stays with the targets that it knows and asks the others when they are faster by more than that.

--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -27,6 +27,9 @@
     /** Part of a route's latency objective within which a target's answer is expected, or the
         target has no room; the rest is for the way and for second attempts. */
     double roomPart = 0.8;
+    /** What a new connection takes longer than a kept one: a way to the target and back, and some
+        milliseconds of one of its slots. */
+    duration newConnectionTime = std::chrono::milliseconds(10);
     /** Part of the objective for which one shard of a request that was let in waits for a target
         with room; about what a second attempt would need to be of use. */
     double shardWaitPart = 0.2;
@@ -132,6 +135,8 @@
     bool send(query &asked, std::size_t shard);
     void transmit(query &asked, std::size_t shard, const target_choice &choice);
     void await(query &asked, std::size_t shard, time_point until);
+    /** Returns the time until a request is on its way, or nothing if it cannot be sent now. */
+    std::optional<duration> connectingTime(const target &candidate, std::size_t connections);
     void giveUpWaiting(query &asked);
     void onExchangeEnd(std::uint64_t number, http::exchange_result &&result);
     void noteEvidence(const attempt &ended, target_evidence evidence);
--- a/include/mustardcourse/serving/query_service_admission.h
+++ b/include/mustardcourse/serving/query_service_admission.h
@@ -136,14 +136,29 @@
     target *chosen = m_environment.directory.choose(
         {part.service, expected, part.tried}, [&](const target &candidate) {
             isAnyUsable = true;
-            return candidate.mayAskCold(coldRate, m_memberCount, now)
-                && candidate.hasRoom(expected, limit, now)
-                && m_connections.hasRoom(candidate.registration(), connections);
+            const bool hasRoom = candidate.mayAskCold(coldRate, m_memberCount, now)
+                && candidate.hasRoom(expected, limit, now);
+            return hasRoom ? connectingTime(candidate, connections) : std::nullopt;
         });
     const shard_gap gap = isAnyUsable ? shard_gap::NoRoom : shard_gap::NoTarget;
     return {chosen, chosen != nullptr ? shard_gap::None : gap, connections};
 }
 
+template <request_format Format>
+std::optional<duration> query_service<Format>::connectingTime(const target &candidate,
+                                                              std::size_t connections)
+{
+    switch (m_connections.stateOf(candidate.registration(), connections)) {
+    case connection_state::Idle:
+        return duration::zero();
+    case connection_state::ToBeOpened:
+        return m_settings.newConnectionTime;
+    case connection_state::Full:
+        break;
+    }
+    return std::nullopt;
+}
+
 template <request_format Format>
 void query_service<Format>::giveUpWaiting(query &asked)
 {
--- a/include/mustardcourse/serving/target_connections.h
+++ b/include/mustardcourse/serving/target_connections.h
@@ -9,6 +9,16 @@
 
 namespace mustardcourse::serving {
 
+/** How a request would reach a target. */
+enum class connection_state {
+    /** On a kept connection. */
+    Idle,
+    /** On a new connection. */
+    ToBeOpened,
+    /** Not at all: this host's share of the target's connections is in use. */
+    Full,
+};
+
 /**
     The connections of this host to all targets.
 
@@ -23,8 +33,9 @@
     /** Sets how many hosts share the targets. Precondition: at least one. */
     void setMemberCount(std::size_t count) noexcept { m_memberCount = count; }
 
-    /** Returns whether a request can be sent to a target now. */
-    [[nodiscard]] bool hasRoom(const target_registration &target, std::size_t maximumConnections);
+    /** Returns how a request would reach a target now. */
+    [[nodiscard]] connection_state stateOf(const target_registration &target,
+                                           std::size_t maximumConnections);
 
     /** Sends a request to a target. @see http::client_pool::send */
     http::exchange_id send(const target_registration &target, std::size_t maximumConnections,
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -190,10 +190,11 @@
     /**
         Returns the best target for a request, or null.
 
-        @param hasRoom  returns whether a request could be sent to a target now
+        @param extraLatency  returns what it takes besides the target's own latency to send a
+       request to it now, or nothing if none can be sent
     */
-    template <typename Room>
-    [[nodiscard]] target *choose(const choice_terms &terms, Room &&hasRoom);
+    template <typename Extra>
+    [[nodiscard]] target *choose(const choice_terms &terms, Extra &&extraLatency);
 
     /** Returns the targets of a service, those that may get no requests among them. */
     [[nodiscard]] std::vector<const target *> of(const service_id &service) const;
@@ -219,8 +220,8 @@
     std::set<data_centre_id> m_evacuated;
 };
 
-template <typename Room>
-target *target_directory::choose(const choice_terms &terms, Room &&hasRoom)
+template <typename Extra>
+target *target_directory::choose(const choice_terms &terms, Extra &&extraLatency)
 {
     const auto found = m_byService.find(terms.service);
     if (found == m_byService.end())
@@ -233,7 +234,10 @@
         const instance_id &instance = candidate->registration().instance;
         const bool isTried =
             std::find(terms.tried.begin(), terms.tried.end(), instance) != terms.tried.end();
-        if (isTried || !isUsable(*candidate) || !hasRoom(*candidate))
+        if (isTried || !isUsable(*candidate))
+            continue;
+        const std::optional<duration> extra = extraLatency(*candidate);
+        if (!extra)
             continue;
         if (candidate->avoidedUntil() > now) {
             const bool isSooner =
@@ -241,7 +245,7 @@
             avoided = isSooner ? candidate.get() : avoided;
             continue;
         }
-        const duration cost = costOf(*candidate, terms.expected, now);
+        const duration cost = costOf(*candidate, terms.expected, now) + *extra;
         if (cost < bestCost) {
             best = candidate.get();
             bestCost = cost;
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -171,7 +171,7 @@
                        [](const auto &each) { return each->isIdle(); });
 }
 
-client_pool::connection *client_pool::idleConnection(duration longestIdle)
+client_pool::connection *client_pool::idleConnection(duration longestIdle) const
 {
     const time_point now = m_clock.now();
     const auto learned = std::chrono::duration_cast<duration>(m_idleLimit * usableIdlePart);
--- a/modules/serving/target_connections.cpp
+++ b/modules/serving/target_connections.cpp
@@ -41,9 +41,13 @@
     return *m_pools.emplace(target.instance, entry{target, std::move(pool)}).first->second.pool;
 }
 
-bool target_connections::hasRoom(const target_registration &target, std::size_t maximumConnections)
+connection_state target_connections::stateOf(const target_registration &target,
+                                             std::size_t maximumConnections)
 {
-    return poolOf(target, maximumConnections).hasRoom();
+    const http::client_pool &pool = poolOf(target, maximumConnections);
+    if (pool.hasIdle())
+        return connection_state::Idle;
+    return pool.hasRoom() ? connection_state::ToBeOpened : connection_state::Full;
 }
 
 http::exchange_id target_connections::send(const target_registration &target,
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -30,12 +30,16 @@
 struct fixture
 {
     manual_clock time;
+    /** Targets to which a connection would have to be opened. */
+    std::set<instance_id> unconnected;
     target_directory directory{time, {riga, 8ms, host_id("host")}};
 
     std::string chosen(const std::vector<instance_id> &tried = {})
     {
-        const target *best =
-            directory.choose({bids, usual, tried}, [](const target &) { return true; });
+        const target *best = directory.choose({bids, usual, tried}, [&](const target &candidate) {
+            const auto &instance = candidate.registration().instance;
+            return std::optional(unconnected.contains(instance) ? 10ms : duration::zero());
+        });
         return best == nullptr ? "none" : best->registration().instance.value();
     }
 
@@ -312,3 +316,31 @@
         CHECK(learned <= item.most);
     }
 }
+
+TEST_CASE("a kept connection is worth a few milliseconds, and no more")
+{
+    struct row
+    {
+        std::string name;
+        std::set<instance_id> unconnected;
+        duration tookOfA;
+        std::string chosen;
+    };
+    const instance_id a("a");
+    const instance_id b("b");
+    const row rows[] = {
+        {"only b is connected", {a}, usual, "b"},
+        {"only a is connected", {b}, usual, "a"},
+        {"the connected one is slow", {b}, 8 * usual, "b"},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        f.directory.update(registered("a"));
+        f.directory.update(registered("b"));
+        for (int i = 0; i < 10; ++i)
+            f.finish("a", target_evidence::Success, item.tookOfA);
+        f.unconnected = item.unconnected;
+        CHECK(f.chosen() == item.chosen);
+    }
+}
