--- a/modules/store/change_log.cpp
+++ b/modules/store/change_log.cpp
@@ -50,11 +50,6 @@
     m_begin = m_items.front().changed;
     m_bytes -= sizeOf(m_items.front());
     m_items.pop_front();
-    // Changes of one transaction share a revision and are only useful together.
-    while (!m_items.empty() && m_items.front().changed == m_begin) {
-        m_bytes -= sizeOf(m_items.front());
-        m_items.pop_front();
-    }
 }
 
 std::optional<store_batch> change_log::changesSince(revision since) const
