A host backs off when it cannot renew its membership; earliest second attempts only from a full budget

Cause: a store that turns 21 to 23 hosts away for 9 s was asked by each of them every 400 ms for a membership on which nothing waits, beside the mirror's own tries; every call is priced. And second attempts from the 86th percentile on left too little for the ones that matter later, as a small reserve holds two.

Change: the wait after a failed call doubles up to the interval of the renewals; the earliest second attempts run from a full budget alone.

--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -20,7 +20,7 @@
    bound, each has little, and what it keeps it mostly loses. */
 constexpr double reservePartKept = 0.25;
 /** Part of the rest that has to be there for the earliest second attempts. */
-constexpr double earlyReservePart = 0.5;
+constexpr double earlyReservePart = 1.0;
 /** Part of the timers that run no later than what is reckoned with. */
 constexpr double lagQuantile = 0.9;
 /** One in this number of successes is logged. */
--- a/include/mustardcourse/store/lease_membership.h
+++ b/include/mustardcourse/store/lease_membership.h
@@ -4,6 +4,7 @@
 #include <mustardcourse/net/loop.h>
 #include <mustardcourse/store/store_port.h>
 
+#include <algorithm>
 #include <concepts>
 #include <string>
 
@@ -29,6 +30,8 @@
     duration lifetime = std::chrono::seconds(5);
     /** Interval of the renewals; two may fail before the lease ends. */
     duration renewal = std::chrono::milliseconds(1600);
+    /** Wait after the first call that failed; it doubles up to the interval of the renewals, as the
+        store counts every call and nothing waits for this one. */
     duration retry = std::chrono::milliseconds(400);
 };
 
@@ -48,6 +51,7 @@
         , m_store(store)
         , m_settings(std::move(settings))
         , m_onTrouble(std::move(onTrouble))
+        , m_nextRetry(m_settings.retry)
         , m_timer(loop, [this] { renew(); })
     { }
 
@@ -91,6 +95,7 @@
             return again(failure);
         }
         m_log.info("membership-joined", {{"key", m_settings.key}});
+        m_nextRetry = m_settings.retry;
         schedule(m_settings.renewal);
     }
 
@@ -103,6 +108,7 @@
         }
         if (failure != store_failure::None)
             return again(failure);
+        m_nextRetry = m_settings.retry;
         schedule(m_settings.renewal);
     }
 
@@ -110,7 +116,8 @@
     {
         m_log.limited("membership-failed", {{"failure", nameOf(failure)}});
         m_onTrouble();
-        schedule(m_settings.retry);
+        schedule(m_nextRetry);
+        m_nextRetry = std::min(2 * m_nextRetry, m_settings.renewal);
     }
 
     void schedule(duration delay)
@@ -125,6 +132,7 @@
     std::function<void()> m_onTrouble;
     std::string m_lease;
     bool m_isLeaving = false;
+    duration m_nextRetry;
     net::timer m_timer;
 };
 
