A relay whose store has dropped its history says so, not that the store is away

Such hosts are now told that the changes are not kept and ask the store themselves. A pool that could not be in use is gone, and a factor of one.

The new row of "a host asks the store itself when its relay fails" fails on the former code (the count of times that the store was away). Behaviour otherwise as before.

--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -184,7 +184,7 @@
     const double usual =
         std::clamp(reservePartKept * (budget.reserve() - 2), 0.0, mostAttemptsKept);
     const double rest = std::max(budget.reserve() - 1 - usual, 0.0);
-    return usual + (1 - progress) * earlyReservePart * rest;
+    return usual + (1 - progress) * rest;
 }
 
 template <request_format Format>
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -16,11 +16,9 @@
 constexpr std::chrono::milliseconds entryInterval{4};
 /** Most attempts of the budget that second attempts leave to attempts that failed. */
 constexpr double mostAttemptsKept = 1;
-/** Part that they leave of what a reserve holds beyond two attempts: where many hosts share a
+/** Part that they leave of what a reserve holds beyond two attempts. Where many hosts share a
    bound, each has little, and what it keeps it mostly loses. */
 constexpr double reservePartKept = 0.25;
-/** Part of the rest that has to be there for the earliest second attempts. */
-constexpr double earlyReservePart = 1.0;
 /** Part of the timers that run no later than what is reckoned with. */
 constexpr double lagQuantile = 0.9;
 /** One in this number of successes is logged. */
--- a/include/mustardcourse/serving/route_statistics.h
+++ b/include/mustardcourse/serving/route_statistics.h
@@ -9,7 +9,7 @@
     When a second attempt runs beside a first one.
 
     It is sent from the earliest time on while the retry budget is full, and from the usual time on
-   in any case, so that the budget is spent where it does most and never runs dry.
+    in any case, so that the budget is spent where it does most.
 */
 struct hedge_window
 {
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -190,8 +190,8 @@
     /**
         Returns the best target for a request, or null.
 
-        @param extraLatency  returns what it takes besides the target's own latency to send a
-       request to it now, or nothing if none can be sent
+        @param extraLatency  returns what sending a request to a target adds to its latency now,
+                             or nothing if none can be sent
     */
     template <typename Extra>
     [[nodiscard]] target *choose(const choice_terms &terms, Extra &&extraLatency);
--- a/include/mustardcourse/store/change_relay.h
+++ b/include/mustardcourse/store/change_relay.h
@@ -12,8 +12,8 @@
     Passes the changes that this host sees in the store on to other hosts.
 
     A host asks for what came after a revision. It is answered at once if there is something, else
-   at the end of this host's own watch, so that every answer is as fresh as the store's own. While
-   the store does not answer, hosts are told so and ask it themselves.
+    at the end of this host's own watch, so that every answer is as fresh as the store's own. While
+    the store does not answer, hosts are told so and ask it themselves.
 */
 class change_relay
 {
@@ -36,7 +36,7 @@
     };
 
     void answer(waiting_host &&waiting) const;
-    void refuseAll();
+    void refuseAll(int status);
     void forget(std::uint64_t number);
 
     change_log m_log;
--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -22,7 +22,7 @@
 
 /**
     A store whose changes come through the relay of this host's data centre if there is one, and
-   from the store itself otherwise or when the relay fails. @see change_relay, relayOf
+    from the store itself otherwise or when the relay fails. @see change_relay, relayOf
 */
 template <watchable_store Store>
 class relayed_store
@@ -66,8 +66,6 @@
     relayed_store_settings m_settings;
     std::optional<endpoint> m_relay;
     std::unique_ptr<http::client_pool> m_pool;
-    /** A pool whose exchange may still be under way when the relay changes. */
-    std::unique_ptr<http::client_pool> m_formerPool;
     time_point m_avoidedUntil;
     /** Whether the last news came from a relay that failed since, or a call to the store failed. */
     bool m_isNewsOverdue = false;
@@ -91,7 +89,6 @@
         return askStore(std::string(prefix), since, wait, std::move(handler));
     const bool isPoolOfRelay = m_pool && m_pool->peer() == *m_relay;
     if (!isPoolOfRelay) {
-        m_formerPool = std::move(m_pool);
         m_pool = std::make_unique<http::client_pool>(
             m_loop, m_clock, *m_relay,
             http::client_pool_settings{
--- a/modules/store/change_relay.cpp
+++ b/modules/store/change_relay.cpp
@@ -63,9 +63,13 @@
 
 void change_relay::noteChanges(revision since, const store_batch &changes)
 {
-    m_isStoreAway = changes.failure != store_failure::None;
+    // A store that has dropped its history answers, only not to this question.
+    const bool isHistoryGone = changes.failure == store_failure::HistoryGone;
+    m_isStoreAway = changes.failure != store_failure::None && !isHistoryGone;
     if (m_isStoreAway)
-        return refuseAll();
+        return refuseAll(relay_status::storeAway);
+    if (isHistoryGone)
+        return refuseAll(relay_status::notServed);
     m_log.append(since, changes);
     auto waiting = std::exchange(m_waiting, {});
     for (auto &[number, host] : waiting)
@@ -76,12 +80,11 @@
 {
     m_isServing = isServing;
     if (!isServing)
-        refuseAll();
+        refuseAll(relay_status::notServed);
 }
 
-void change_relay::refuseAll()
+void change_relay::refuseAll(int status)
 {
-    const int status = m_isServing ? relay_status::storeAway : relay_status::notServed;
     auto waiting = std::exchange(m_waiting, {});
     for (auto &[number, host] : waiting)
         host.exchange->respond(statusOnly(status));
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -272,6 +272,11 @@
              f.relay.noteChanges(revision(10), {store_failure::Unanswered, {}, {}, false});
          },
          500ms, 1},
+        {"its history is gone", nothing,
+         [](fixture &f) {
+             f.relay.noteChanges(revision(10), {store_failure::HistoryGone, {}, {}, false});
+         },
+         500ms, 0},
         {"it stops", nothing, [](fixture &f) { f.relay.setServing(false); }, 500ms, 0},
     };
     for (const row &each : rows) {
