--- a/modules/daemon/lookup_task.cpp
+++ b/modules/daemon/lookup_task.cpp
@@ -241,8 +241,7 @@
 
 void lookup_task::finishIfDone()
 {
-    const bool isDone =
-        m_progress.verdict(m_entry.m_clock.now()) != serving::scatter_verdict::Wait;
+    const bool isDone = m_progress.verdict(m_entry.m_clock.now()) != serving::scatter_verdict::Wait;
     if (m_isFinished || !isDone)
         return;
     if (restartOnNewerSnapshot())
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -369,12 +369,13 @@
     duration took{0};
     std::string id;
     std::string missing;
-    /** Part of the time in which this process, which runs caller, host and targets, was ready to run
-        and the machine ran others. */
+    /** Part of the time in which this process, which runs caller, host and targets, was ready to
+       run and the machine ran others. */
     duration heldBack{0};
 };
 
-/** Returns how long this process has waited for a processor, or zero if the system does not tell. */
+/** Returns how long this process has waited for a processor, or zero if the system does not tell.
+ */
 duration processorWait()
 {
     std::ifstream statistics("/proc/self/schedstat");
