One copy of the function that scales a length of time

Cause: reading the change once more found two copies of it and five casts of the same shape. It stands in core/clock.h now.

--- a/include/mustardcourse/core/clock.h
+++ b/include/mustardcourse/core/clock.h
@@ -8,6 +8,12 @@
 using duration = std::chrono::steady_clock::duration;
 using wall_time = std::chrono::system_clock::time_point;
 
+/** Returns a length of time times a factor. */
+constexpr duration scaled(duration length, double factor)
+{
+    return std::chrono::duration_cast<duration>(length * factor);
+}
+
 /**
     Source of the current time.
 
--- a/include/mustardcourse/serving/query_service_admission.h
+++ b/include/mustardcourse/serving/query_service_admission.h
@@ -41,8 +41,7 @@
 {
     if (asked.isLateTry)
         return entryWait(asked);
-    return std::chrono::duration_cast<duration>(m_settings.shardWaitPart
-                                                * duration(asked.matched->latencyObjective));
+    return scaled(asked.matched->latencyObjective, m_settings.shardWaitPart);
 }
 
 template <request_format Format>
@@ -184,8 +183,7 @@
 template <request_format Format>
 duration query_service<Format>::roomLimit(const route &matched) const
 {
-    return std::chrono::duration_cast<duration>(m_settings.roomPart
-                                                * duration(matched.latencyObjective));
+    return scaled(matched.latencyObjective, m_settings.roomPart);
 }
 
 template <request_format Format>
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -50,8 +50,7 @@
     sent.instance = chosen.registration().instance;
     sent.sentAt = now;
     sent.expected = asked.statistics->usualLatency();
-    sent.expected =
-        std::chrono::duration_cast<duration>(sent.expected * chosen.crowding(sent.expected, now));
+    sent.expected = scaled(sent.expected, chosen.crowding(sent.expected, now));
     sent.isIdempotent = isIdempotent;
     sent.statistics = asked.statistics;
     part.tried.push_back(sent.instance);
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -188,8 +188,7 @@
     asked.statistics = std::move(statistics);
     asked.isLateTry = isLateTry;
     asked.deadline = arrival + deadline - 2 * m_settings.callerTravel;
-    const auto refusalTime = std::chrono::duration_cast<duration>(
-        m_settings.refusalPart * duration(matched.latencyObjective));
+    const duration refusalTime = scaled(matched.latencyObjective, m_settings.refusalPart);
     asked.refuseBy = arrival + refusalTime - waited - m_settings.callerTravel - answerMargin();
     asked.exchange = std::move(exchange);
     asked.exchange->onGone([this, number] { abandon(number); });
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -174,7 +174,7 @@
 client_pool::connection *client_pool::idleConnection(duration longestIdle) const
 {
     const time_point now = m_clock.now();
-    const auto learned = std::chrono::duration_cast<duration>(m_idleLimit * usableIdlePart);
+    const duration learned = scaled(m_idleLimit, usableIdlePart);
     const duration limit = std::min(longestIdle, learned);
     connection *best = nullptr;
     // The most recently used connection goes first, so that surplus ones fall idle and close.
--- a/modules/serving/route_statistics.cpp
+++ b/modules/serving/route_statistics.cpp
@@ -25,11 +25,6 @@
     rarely still has one within seconds. */
 constexpr std::size_t attemptsPerUpdate = 8;
 
-duration scaled(duration length, double factor)
-{
-    return std::chrono::duration_cast<duration>(length * factor);
-}
-
 } // namespace
 
 route_statistics::route_statistics(duration objective)
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -38,11 +38,6 @@
 /** Time for which the order of a removed target's reports is remembered. */
 constexpr std::chrono::minutes goneLifetime{2};
 
-duration scaled(duration length, double factor)
-{
-    return std::chrono::duration_cast<duration>(length * factor);
-}
-
 } // namespace
 
 target::target(target_registration registration, time_point now, std::uint32_t phase)
