A target at whose address another instance answers is left alone for a while

Cause: the last usable target of another shard had gone while the store was away, and its address belonged to a target of this service. Each lookup found nobody else, asked that address and was answered by another instance (314 times in 10 s), which counted as being full: the target stayed the best of none. Ruled out: the budgets themselves (231 further attempts of 1,602, by more log lines on a scratch copy).

Change: such an answer is proof that the target is not there. It is not asked for 3 s, also when it is the only one, unless it registers a new start. The new test fails without it (asked a thousand times, four allowed).

--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -91,7 +91,8 @@
         noteEvidence(ended, target_evidence::Success);
         break;
     case attempt_end::NotRun:
-        noteEvidence(ended, target_evidence::Refused);
+        noteEvidence(
+            ended, answer->isOtherInstance ? target_evidence::Replaced : target_evidence::Refused);
         break;
     case attempt_end::Lost:
         // A kept connection that the target closed as the request was sent is nobody's failure.
--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -29,6 +29,8 @@
 struct target_answer
 {
     attempt_end end = attempt_end::Lost;
+    /** Whether it comes from another instance than the one that was asked. */
+    bool isOtherInstance = false;
     /** Proof of the answer's origin, which is passed on to the caller. */
     std::string proof;
     std::optional<reported_load> load;
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -57,6 +57,8 @@
     Failure,
     /** The request was cancelled, which tells that it took at least so long. */
     Cancelled,
+    /** Another instance answered at its address, so the target is gone or has moved. */
+    Replaced,
 };
 
 /** One registered target with what this host knows of it from its own requests. */
@@ -90,6 +92,8 @@
 
     /** Returns the time at which it may be asked again after failures. */
     [[nodiscard]] time_point avoidedUntil() const noexcept { return m_avoidedUntil; }
+    /** Returns whether another instance was found at its address lately. */
+    [[nodiscard]] bool isReplaced(time_point now) const noexcept { return now < m_replacedUntil; }
     [[nodiscard]] bool isCold(time_point now) const noexcept { return now < m_coldUntil; }
     [[nodiscard]] std::size_t inFlight() const noexcept { return m_sentAt.size(); }
     /** Returns the time it takes in units of what is usual; some time later it is forgotten. */
@@ -132,6 +136,7 @@
     target_registration m_registration;
     time_point m_coldUntil;
     time_point m_avoidedUntil;
+    time_point m_replacedUntil;
     std::vector<time_point> m_sentAt;
     std::size_t m_failuresInRow = 0;
     double m_failureShare = 0;
@@ -203,7 +208,7 @@
     [[nodiscard]] std::vector<const target *> all() const;
 
 private:
-    [[nodiscard]] bool isUsable(const target &candidate) const;
+    [[nodiscard]] bool isUsable(const target &candidate, time_point now) const;
     [[nodiscard]] duration costOf(const target &candidate, duration expected, time_point now) const;
 
     struct gone_target
@@ -234,7 +239,7 @@
         const instance_id &instance = candidate->registration().instance;
         const bool isTried =
             std::find(terms.tried.begin(), terms.tried.end(), instance) != terms.tried.end();
-        if (isTried || !isUsable(*candidate))
+        if (isTried || !isUsable(*candidate, now))
             continue;
         const std::optional<duration> extra = extraLatency(*candidate);
         if (!extra)
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds longestAvoidance{1600};
 /** Failures in a row after which a target is avoided; one may be chance. */
 constexpr std::size_t failuresToAvoid = 2;
+/** Time for which a target is not asked after another instance answered at its address. Reports
+   that arrive later may still be of the one that has gone. */
+constexpr std::chrono::seconds replacedTime{3};
 /** Latency that a certain failure is worth, in average latencies. */
 constexpr double failurePenalty = 10;
 /** Part of the average by which a request may be late before its target counts as stalled. */
@@ -44,6 +47,7 @@
     : m_registration(std::move(registration))
     , m_coldUntil(now + m_registration.coldFor)
     , m_avoidedUntil(now)
+    , m_replacedUntil(now)
     , m_slownessAt(now)
     , m_loadAt(now - mostLoadLifetime)
     , m_lastSent(now - probeInterval)
@@ -77,6 +81,10 @@
     if (found != m_sentAt.end())
         m_sentAt.erase(found);
 
+    if (evidence == target_evidence::Replaced) {
+        m_replacedUntil = now + replacedTime;
+        return;
+    }
     const bool isFailure = evidence == target_evidence::Failure;
     const bool isRefusal = evidence == target_evidence::Refused;
     if (evidence != target_evidence::Cancelled) {
@@ -254,10 +262,11 @@
     m_evacuated = std::move(dataCentres);
 }
 
-bool target_directory::isUsable(const target &candidate) const
+bool target_directory::isUsable(const target &candidate, time_point now) const
 {
     const target_registration &registration = candidate.registration();
-    return !registration.isLeaving && !m_evacuated.contains(registration.dataCentre);
+    return !registration.isLeaving && !candidate.isReplaced(now)
+        && !m_evacuated.contains(registration.dataCentre);
 }
 
 duration target_directory::costOf(const target &candidate, duration expected, time_point now) const
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -317,6 +317,27 @@
     }
 }
 
+TEST_CASE(
+    "a target at whose address another instance answers is left alone, not asked again and again")
+{
+    fixture f;
+    f.directory.update(registered("a"));
+    std::size_t asked = 0;
+    // The store cannot be reached, so that the registration stays, and it is the only one.
+    for (int i = 0; i < 1000; ++i) {
+        if (f.chosen() == "a") {
+            ++asked;
+            f.finish("a", target_evidence::Replaced, 1ms);
+        }
+        f.time.advance(10ms);
+    }
+    CHECK(asked >= 2);
+    CHECK(asked <= 4);
+    // A new start of the target counts at once, as it has registered again.
+    f.directory.update(registered("a", riga, {2, 1}));
+    CHECK(f.chosen() == "a");
+}
+
 TEST_CASE("a kept connection is worth a few milliseconds, and no more")
 {
     struct row
