Log and count store items that are ignored for their revision, and listings

A host on an older configuration could have missed a change, ignored the document, or ignored the item for its revision; logs showed only the second. Adds the event store-item-outdated (under the shared rate limit), counters of such items and of complete listings, and a gauge of the revision that the host has followed. No logic changes.

--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -39,6 +39,9 @@
     prometheus::Counter &connectionsOpened;
     prometheus::Counter &storeCalls;
     prometheus::Counter &storeFailures;
+    prometheus::Counter &storeListings;
+    prometheus::Counter &storeItemsOutdated;
+    prometheus::Gauge &storeRevision;
     prometheus::Counter &logLinesDropped;
     prometheus::Gauge &configurationVersion;
     prometheus::Gauge &targets;
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -20,6 +20,16 @@
     store.watch(prefix, since, wait, handler);
 };
 
+/** How far a mirror has followed the store, for metrics. */
+struct mirror_progress
+{
+    /** The mirror reflects the store up to this revision. */
+    revision currentRevision;
+    std::size_t completedListings = 0;
+    /** Items that were not applied, as the mirror has a newer revision of their key. */
+    std::size_t outdatedItems = 0;
+};
+
 /** Receives notifications of the keys of a mirror. */
 class mirror_listener
 {
@@ -78,6 +88,7 @@
     void recordStoreFailure();
 
     [[nodiscard]] bool isComplete() const noexcept { return m_isComplete; }
+    [[nodiscard]] const mirror_progress &progress() const noexcept { return m_progress; }
 
 private:
     void list(std::size_t prefixIndex, const std::string &after);
@@ -101,7 +112,7 @@
     /** Keys that disappeared around an outage, with the end of their grace period. */
     std::map<std::string, time_point> m_missingKeys;
     std::set<std::string> m_listedKeys;
-    revision m_currentRevision;
+    mirror_progress m_progress;
     revision m_listingRevision;
     bool m_isComplete = false;
     bool m_isListingNeeded = true;
@@ -137,7 +148,7 @@
 void store_mirror<Store>::recordStoreFailure()
 {
     if (!m_isStoreUnreachable)
-        m_log.warning("store-lost", {{"revision", m_currentRevision.value()}});
+        m_log.warning("store-lost", {{"revision", m_progress.currentRevision.value()}});
     m_isStoreUnreachable = true;
     m_unreachableUntil = m_clock.now();
 }
@@ -150,7 +161,7 @@
         return;
     m_isStoreUnreachable = false;
     m_unreachableUntil = m_clock.now();
-    m_log.info("store-regained", {{"revision", m_currentRevision.value()}});
+    m_log.info("store-regained", {{"revision", m_progress.currentRevision.value()}});
 }
 
 template <watchable_store Store>
@@ -207,10 +218,11 @@
     }
     for (const std::string &key : missing)
         handleMissing(key);
-    m_currentRevision = std::max(m_currentRevision, m_listingRevision);
+    m_progress.currentRevision = std::max(m_progress.currentRevision, m_listingRevision);
     m_isListingNeeded = false;
+    ++m_progress.completedListings;
     m_log.info("store-listed",
-               {{"keys", m_listedKeys.size()}, {"revision", m_currentRevision.value()}});
+               {{"keys", m_listedKeys.size()}, {"revision", m_progress.currentRevision.value()}});
     if (!m_isComplete) {
         m_isComplete = true;
         m_listener.onInitialListingComplete();
@@ -221,7 +233,7 @@
 template <watchable_store Store>
 void store_mirror<Store>::watch()
 {
-    m_store.watch(m_settings.watchedPrefix, m_currentRevision, m_settings.watchDuration,
+    m_store.watch(m_settings.watchedPrefix, m_progress.currentRevision, m_settings.watchDuration,
                   [this](store_batch &&changes) { onChanges(std::move(changes)); });
 }
 
@@ -229,7 +241,7 @@
 void store_mirror<Store>::onChanges(store_batch &&changes)
 {
     if (changes.failure == store_failure::HistoryCompacted) {
-        m_log.info("store-history-gone", {{"revision", m_currentRevision.value()}});
+        m_log.info("store-history-gone", {{"revision", m_progress.currentRevision.value()}});
         return list(0, "");
     }
     if (changes.failure != store_failure::None)
@@ -237,7 +249,7 @@
     recordStoreResponse();
     for (store_item &item : changes.items)
         apply(std::move(item));
-    m_currentRevision = std::max(m_currentRevision, changes.currentRevision);
+    m_progress.currentRevision = std::max(m_progress.currentRevision, changes.currentRevision);
     m_callTimer.start(changes.items.empty() ? duration::zero() : m_settings.watchPause);
 }
 
@@ -251,8 +263,14 @@
         return;
     const auto existing = m_revisions.find(item.key);
     const bool isOlder = existing != m_revisions.end() && item.modRevision < existing->second;
-    if (isOlder)
+    if (isOlder) {
+        ++m_progress.outdatedItems;
+        m_log.writeRateLimited("store-item-outdated",
+                               {{"key", item.key},
+                                {"revision", item.modRevision.value()},
+                                {"known_revision", existing->second.value()}});
         return;
+    }
     if (item.isDeleted)
         return handleMissing(item.key);
     const bool wasMissing = m_missingKeys.erase(item.key) > 0;
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -47,6 +47,12 @@
     , storeCalls(counter(m_registry, "mustardcourse_store_calls_total", "Calls to the store"))
     , storeFailures(counter(m_registry, "mustardcourse_store_failures_total",
                             "Calls to the store that were refused or not answered"))
+    , storeListings(counter(m_registry, "mustardcourse_store_listings_total",
+                            "Complete listings of the store's keys"))
+    , storeItemsOutdated(counter(m_registry, "mustardcourse_store_items_outdated_total",
+                                 "Items of the store ignored for a newer revision of their key"))
+    , storeRevision(gauge(m_registry, "mustardcourse_store_revision",
+                          "Revision up to which this host has followed the store"))
     , logLinesDropped(counter(m_registry, "mustardcourse_log_lines_dropped_total",
                               "Log lines dropped to limit their volume"))
     , configurationVersion(gauge(m_registry, "mustardcourse_configuration_version",
