--- a/scripts/platform-fleet.sh
+++ b/scripts/platform-fleet.sh
@@ -1,17 +1,22 @@
 # Functions to start hosts of the platform deployment with the platform stand-in; sourced after
 # fleet.sh.
 
+# platform_settings NUMBER [DATA_CENTRE]: prints the settings of a host; one with a data centre can
+# relay changes of the store.
 platform_settings() {
     local number=$1
+    local data_centre=${2:-${FLEET_DATA_CENTRES[$((($1 - 1) % 3))]}}
+    local relay=${2:+relay = 127.0.0.1:$((FLEET_PORT + 460 + $1))}
     cat << END
 [host]
 id = host-$number
-data_centre = ${FLEET_DATA_CENTRES[$(((number - 1) % 3))]}
+data_centre = $data_centre
 
 [listen]
 caller = 127.0.0.1:$((FLEET_PORT + 400 + number))
 readiness = 127.0.0.1:$((FLEET_PORT + 420 + number))
 metrics = 127.0.0.1:$((FLEET_PORT + 440 + number))
+$relay
 
 [store]
 address = 127.0.0.1:$((FLEET_PORT + 399))
@@ -27,12 +32,18 @@
 
 start_platform_standin() {
     start platform "$FLEET_BIN/standin_platform" --store="127.0.0.1:$((FLEET_PORT + 399))" \
-        --first-target-port=$((FLEET_PORT + 500)) "$@"
+        --first-target-port=$((FLEET_PORT + 500)) --control="127.0.0.1:$((FLEET_PORT + 398))" "$@"
 }
 
+# change_store COMMAND: sends a command to the control address of the platform stand-in.
+change_store() {
+    send_request $((FLEET_PORT + 398)) POST "/$1" control | grep -q ' 200 '
+}
+
+# start_platform_host NUMBER [DATA_CENTRE]
 start_platform_host() {
     local number=$1
-    platform_settings "$number" > "$fleet_work/platform-$number.ini"
+    platform_settings "$@" > "$fleet_work/platform-$number.ini"
     start "platform-host-$number" "$FLEET_BIN/mustardd" --settings="$fleet_work/platform-$number.ini"
 }
 
--- a/standins/lib/platform_store.cpp
+++ b/standins/lib/platform_store.cpp
@@ -52,15 +52,6 @@
     return value;
 }
 
-http::reply reply(int status, const json &body = json::object())
-{
-    http::reply result;
-    result.status = status;
-    result.headers.push_back({"Content-Type", "application/json"});
-    result.body = body.dump();
-    return result;
-}
-
 } // namespace
 
 /** An open watch call, which is answered after a change or at its timeout. */
@@ -124,6 +115,42 @@
     ++m_revision;
 }
 
+void platform_store::takeCopy()
+{
+    m_copy = {m_entries, m_changes, m_revision, m_oldestRetainedRevision, m_lastLeaseId, {}};
+    for (const auto &[id, granted] : m_leases)
+        m_copy.leaseLifetimes.emplace(id, granted.lifetime);
+}
+
+void platform_store::restoreCopy(pending_watches watches)
+{
+    ++m_era;
+    m_entries = m_copy.entries;
+    m_changes = m_copy.changes;
+    m_revision = m_copy.revision;
+    m_oldestRetainedRevision = m_copy.oldestRetainedRevision;
+    m_lastLeaseId = m_copy.lastLeaseId;
+    m_leases.clear();
+    for (const auto &[id, lifetime] : m_copy.leaseLifetimes)
+        startLease(id, lifetime);
+    if (watches == pending_watches::Hang) {
+        for (const auto &watch : m_watches)
+            m_unanswered.push_back(std::move(watch->exchange));
+    }
+    m_watches.clear();
+}
+
+void platform_store::respond(http::caller_exchange &exchange, int status, const std::string &body)
+{
+    http::reply answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    if (m_isReportingEra)
+        answer.headers.push_back({"Store-Era", std::to_string(m_era)});
+    answer.body = body;
+    exchange.respond(answer);
+}
+
 std::size_t platform_store::keyCount(const std::string &prefix) const
 {
     std::size_t count = 0;
@@ -138,7 +165,7 @@
     const std::string target = exchange->receivedRequest().target;
     const std::string path = target.substr(0, target.find('?'));
     if (m_mode == store_mode::Unavailable)
-        return exchange->respond(reply(503));
+        return respond(*exchange, 503);
     if (m_mode == store_mode::Unresponsive) {
         m_unanswered.push_back(std::move(exchange));
         return;
@@ -155,9 +182,9 @@
         renewLease(*exchange, parseNumber(path.substr(9)));
     else if (path.starts_with("/kv-lease-end/")) {
         removeLease(parseNumber(path.substr(14)));
-        exchange->respond(reply(200));
+        respond(*exchange, 200);
     } else
-        exchange->respond(reply(404));
+        respond(*exchange, 404);
     if (m_mode == store_mode::LostWriteResponses)
         m_unanswered.push_back(std::move(exchange));
 }
@@ -181,8 +208,8 @@
                            {"CreateRev", entry.createdRevision},
                            {"Lease", entry.lease}});
     }
-    exchange.respond(
-        reply(200, {{"items", entries}, {"MorePages", hasMore}, {"CurrentRev", m_revision}}));
+    const json body{{"items", entries}, {"MorePages", hasMore}, {"CurrentRev", m_revision}};
+    respond(exchange, 200, body.dump());
 }
 
 void platform_store::serveWatch(std::unique_ptr<http::caller_exchange> exchange)
@@ -191,8 +218,10 @@
     const std::string target = exchange->receivedRequest().target;
     watch->prefix = queryParameter(target, "PathPrefix");
     watch->after = parseNumber(queryParameter(target, "after"));
-    if (watch->after + 1 < m_oldestRetainedRevision)
-        return exchange->respond(reply(410));
+    const bool isKnownRevision =
+        watch->after <= m_revision && watch->after + 1 >= m_oldestRetainedRevision;
+    if (!isKnownRevision)
+        return respond(*exchange, 410);
     watch->exchange = std::move(exchange);
     waiting_watch *unansweredWatch = watch.get();
     watch->timer = std::make_unique<net::timer>(m_loop, [this, unansweredWatch] {
@@ -207,7 +236,7 @@
 bool platform_store::answerWatch(waiting_watch &watch, bool hasTimedOut)
 {
     if (watch.after + 1 < m_oldestRetainedRevision) {
-        watch.exchange->respond(reply(410));
+        respond(*watch.exchange, 410);
         return true;
     }
     json events = json::array();
@@ -223,7 +252,7 @@
     }
     if (events.empty() && !hasTimedOut)
         return false;
-    watch.exchange->respond(reply(200, {{"events", events}, {"CurrentRev", m_revision}}));
+    respond(*watch.exchange, 200, json{{"events", events}, {"CurrentRev", m_revision}}.dump());
     return true;
 }
 
@@ -247,12 +276,12 @@
         const std::uint64_t currentRevision =
             found == m_entries.end() ? 0 : found->second.modifiedRevision;
         if (currentRevision != condition.at("Revision").get<std::uint64_t>())
-            return exchange.respond(reply(412));
+            return respond(exchange, 412);
     }
     for (const json &write : body.at("Writes")) {
         const std::uint64_t leaseId = write.value("Lease", std::uint64_t{0});
         if (leaseId != 0 && !m_leases.contains(leaseId))
-            return exchange.respond(reply(404));
+            return respond(exchange, 404);
         std::string value;
         absl::Base64Unescape(write.at("Value").get<std::string>(), &value);
         putWithLease(write.at("Key").get<std::string>(), value, leaseId);
@@ -260,7 +289,7 @@
     for (const json &key : body.at("Deletes"))
         erase(key.get<std::string>());
     if (m_mode != store_mode::LostWriteResponses)
-        exchange.respond(reply(200, {{"Revision", m_revision}}));
+        respond(exchange, 200, json{{"Revision", m_revision}}.dump());
 }
 
 void platform_store::grantLease(http::caller_exchange &exchange)
@@ -268,22 +297,27 @@
     const json body = json::parse(exchange.receivedRequest().body);
     const std::uint64_t id = ++m_lastLeaseId;
     const std::chrono::milliseconds lifetime(body.at("TtlMs").get<std::uint64_t>());
+    startLease(id, lifetime);
+    if (m_mode != store_mode::LostWriteResponses)
+        respond(exchange, 200, json{{"Lease", id}, {"TtlMs", lifetime.count()}}.dump());
+}
+
+void platform_store::startLease(std::uint64_t id, duration lifetime)
+{
     lease &granted = m_leases[id];
     granted.lifetime = lifetime;
     granted.expiry = std::make_unique<net::timer>(m_loop, [this, id] { removeLease(id); });
     granted.expiry->start(lifetime);
-    if (m_mode != store_mode::LostWriteResponses)
-        exchange.respond(reply(200, {{"Lease", id}, {"TtlMs", lifetime.count()}}));
 }
 
 void platform_store::renewLease(http::caller_exchange &exchange, std::uint64_t id)
 {
     const auto found = m_leases.find(id);
     if (found == m_leases.end())
-        return exchange.respond(reply(404));
+        return respond(exchange, 404);
     found->second.expiry->start(found->second.lifetime);
     if (m_mode != store_mode::LostWriteResponses)
-        exchange.respond(reply(200));
+        respond(exchange, 200);
 }
 
 void platform_store::removeLease(std::uint64_t id)
--- a/standins/lib/platform_store.h
+++ b/standins/lib/platform_store.h
@@ -20,6 +20,14 @@
     LostWriteResponses,
 };
 
+/** What happens to watches that wait while the store is restored. */
+enum class pending_watches {
+    /** Their connections are closed. */
+    Close,
+    /** They are never answered. */
+    Hang,
+};
+
 /**
     A simulated store of the platform: keys with revisions, ranges, watches, transactions, leases.
 
@@ -44,6 +52,20 @@
     /** Compacts the history, so that watches from earlier revisions fail with status 410. */
     void compactHistory();
 
+    /** Copies the keys, leases and counters as they are now, for restoreCopy(). */
+    void takeCopy();
+
+    /**
+        Returns to the last copy, as after a failover to a replica that lagged behind.
+
+        Changes and leases since the copy are lost, their revisions and lease ids are assigned
+        again, and the era increases by one. Leases of the copy have their whole lifetime left.
+    */
+    void restoreCopy(pending_watches watches = pending_watches::Close);
+
+    /** Sets whether responses contain the era. */
+    void setReportingEra(bool isReporting) { m_isReportingEra = isReporting; }
+
     /** Sets the maximum number of keys in one page of a range. */
     void setPageSize(std::size_t maximumKeys) { m_pageSize = maximumKeys; }
 
@@ -70,6 +92,16 @@
         duration lifetime;
         std::unique_ptr<net::timer> expiry;
     };
+    /** What a copy of the store holds. */
+    struct content
+    {
+        std::map<std::string, stored_entry> entries;
+        std::vector<change> changes;
+        std::uint64_t revision = 1;
+        std::uint64_t oldestRetainedRevision = 0;
+        std::uint64_t lastLeaseId = 100;
+        std::map<std::uint64_t, duration> leaseLifetimes;
+    };
     struct waiting_watch;
 
     void serve(std::unique_ptr<http::caller_exchange> exchange);
@@ -80,6 +112,8 @@
     void renewLease(http::caller_exchange &exchange, std::uint64_t id);
     void removeLease(std::uint64_t id);
     void putWithLease(const std::string &key, const std::string &value, std::uint64_t leaseId);
+    void startLease(std::uint64_t id, duration lifetime);
+    void respond(http::caller_exchange &exchange, int status, const std::string &body = "{}");
     void answerWatches();
     /** Responds if there are matching changes, the history was compacted or it has timed out. */
     bool answerWatch(waiting_watch &watch, bool hasTimedOut);
@@ -92,6 +126,9 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldestRetainedRevision = 0;
     std::uint64_t m_lastLeaseId = 100;
+    std::uint64_t m_era = 1;
+    bool m_isReportingEra = true;
+    content m_copy;
     std::uint64_t m_callCount = 0;
     std::size_t m_pageSize = 50;
     std::map<std::uint64_t, lease> m_leases;
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -10,10 +10,14 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <charconv>
 #include <csignal>
+#include <optional>
 
 ABSL_FLAG(std::string, store, "127.0.0.1:8001", "address of the store");
 ABSL_FLAG(std::uint32_t, first_target_port, 9000, "port of the first target on 127.0.0.1");
+ABSL_FLAG(std::string, control, "",
+          "address at which tests change the store; without one they cannot");
 ABSL_FLAG(std::uint32_t, shards, 4, "number of shards of the search service");
 ABSL_FLAG(std::uint32_t, work_ms, 5, "processing time of a request, in milliseconds");
 
@@ -31,7 +35,8 @@
             {"Priority", 1},          {"MaxAttempts", 2}};
 }
 
-std::string makeConfiguration(std::uint32_t shards)
+/** Returns a configuration with a route whose name contains the version, "added-5" for example. */
+std::string makeConfiguration(std::uint32_t shards, std::uint64_t version)
 {
     json services = json::array();
     json serviceNames = json::array();
@@ -46,11 +51,113 @@
     scatterRoute["MinShardShare"] = 0.5;
     json singleRoute = makeRoute("once", "non_idempotent");
     singleRoute["Service"] = "shard-0";
-    return json{
-        {"ConfigVersion", 1}, {"Routes", {scatterRoute, singleRoute}}, {"Services", services}}
+    json addedRoute = makeRoute(fmt::format("added-{}", version), "idempotent");
+    addedRoute["Service"] = "shard-0";
+    return json{{"ConfigVersion", version},
+                {"Routes", {scatterRoute, singleRoute, addedRoute}},
+                {"Services", services}}
         .dump();
 }
 
+/** A simulated platform: a store, and three targets for each shard, one in each data centre. */
+class platform
+{
+public:
+    platform(net::loop &loop, const mustardcourse::clock &clock)
+        : m_store(loop, clock, endpoint::parse(absl::GetFlag(FLAGS_store)))
+        , m_shards(absl::GetFlag(FLAGS_shards))
+    {
+        for (std::uint32_t index = 0; index < m_shards * dataCentres.size(); ++index)
+            startTarget(loop, clock, index);
+        registerTargets();
+        writeConfiguration(1);
+    }
+
+    [[nodiscard]] standins::platform_store &store() noexcept { return m_store; }
+
+    /** Carries out a command of a test. @returns false if it is unknown */
+    bool execute(std::string_view command)
+    {
+        using standins::store_mode;
+        constexpr std::string_view configurationCommand = "/configuration/";
+        if (command == "/copy")
+            m_store.takeCopy();
+        else if (command == "/restore")
+            m_store.restoreCopy();
+        else if (command == "/restore-without-closing-watches")
+            m_store.restoreCopy(standins::pending_watches::Hang);
+        else if (command == "/unavailable")
+            m_store.setMode(store_mode::Unavailable);
+        else if (command == "/serving")
+            m_store.setMode(store_mode::Serving);
+        else if (command == "/other-writes")
+            writeOtherKeys();
+        else if (command == "/write-again")
+            writeAgain();
+        else if (command.starts_with(configurationCommand))
+            writeConfiguration(parseVersion(command.substr(configurationCommand.size())));
+        else
+            return false;
+        return true;
+    }
+
+private:
+    static std::uint64_t parseVersion(std::string_view text)
+    {
+        std::uint64_t version = 0;
+        std::from_chars(text.data(), text.data() + text.size(), version);
+        return version;
+    }
+
+    void startTarget(net::loop &loop, const mustardcourse::clock &clock, std::uint32_t index)
+    {
+        const auto port =
+            static_cast<std::uint16_t>(absl::GetFlag(FLAGS_first_target_port) + index);
+        m_targets.push_back(std::make_unique<standins::platform_target>(
+            loop, clock, endpoint("127.0.0.1", port),
+            standins::platform_target_settings{
+                .instance = fmt::format("target-{}", index),
+                .service = fmt::format("shard-{}", index / dataCentres.size()),
+                .workTime = std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms))}));
+    }
+
+    void registerTargets()
+    {
+        ++m_registrationSequence;
+        for (std::size_t index = 0; index < m_targets.size(); ++index)
+            m_store.put(fmt::format("servers/target-{}", index),
+                        m_targets[index]->registration(dataCentres[index % dataCentres.size()],
+                                                       "ready", m_registrationSequence));
+    }
+
+    void writeConfiguration(std::uint64_t version)
+    {
+        m_configurationVersion = version;
+        m_store.put("op/config", makeConfiguration(m_shards, version));
+    }
+
+    /** Writes again what operators and targets wrote, as they do after a restore. */
+    void writeAgain()
+    {
+        registerTargets();
+        writeConfiguration(m_configurationVersion);
+    }
+
+    /** Makes many writes that hosts do not read, so that the store's revision rises. */
+    void writeOtherKeys()
+    {
+        constexpr int count = 200;
+        for (int number = 0; number < count; ++number)
+            m_store.put("elsewhere/key", std::to_string(number));
+    }
+
+    standins::platform_store m_store;
+    std::uint32_t m_shards;
+    std::vector<std::unique_ptr<standins::platform_target>> m_targets;
+    std::uint64_t m_registrationSequence = 0;
+    std::uint64_t m_configurationVersion = 0;
+};
+
 } // namespace
 
 /** Runs a store and three targets for each shard, one in each data centre, in one process. */
@@ -62,29 +169,23 @@
     absl::ParseCommandLine(argc, argv);
     const system_clock clock;
     net::loop loop;
-    standins::platform_store store(loop, clock, endpoint::parse(absl::GetFlag(FLAGS_store)));
-    std::vector<std::unique_ptr<standins::platform_target>> targets;
-    const std::uint32_t shards = absl::GetFlag(FLAGS_shards);
-    for (std::uint32_t index = 0; index < shards * dataCentres.size(); ++index) {
-        const auto port =
-            static_cast<std::uint16_t>(absl::GetFlag(FLAGS_first_target_port) + index);
-        const std::string instance = fmt::format("target-{}", index);
-        targets.push_back(std::make_unique<standins::platform_target>(
-            loop, clock, endpoint("127.0.0.1", port),
-            standins::platform_target_settings{
-                .instance = instance,
-                .service = fmt::format("shard-{}", index / dataCentres.size()),
-                .workTime = std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms))}));
-        store.put(
-            "servers/" + instance,
-            targets.back()->registration(dataCentres[index % dataCentres.size()], "ready", 1));
+    platform simulated(loop, clock);
+    std::optional<http::caller_server> control;
+    if (!absl::GetFlag(FLAGS_control).empty()) {
+        control.emplace(loop, clock, endpoint::parse(absl::GetFlag(FLAGS_control)),
+                        [&](std::unique_ptr<http::caller_exchange> exchange) {
+                            http::reply answer;
+                            const bool isKnown =
+                                simulated.execute(exchange->receivedRequest().target);
+                            answer.status = isKnown ? 200 : 404;
+                            exchange->respond(answer);
+                        });
     }
-    store.put("op/config", makeConfiguration(shards));
     loop.onSignal(SIGTERM, [&] { loop.stop(); });
     // Signals start and end an evacuation of a data centre, in place of the operators.
-    loop.onSignal(SIGUSR1, [&] { store.put("op/evacuate/riga-1", "{}"); });
-    loop.onSignal(SIGUSR2, [&] { store.erase("op/evacuate/riga-1"); });
-    fmt::print("platform stand-in: serving {} shards\n", shards);
+    loop.onSignal(SIGUSR1, [&] { simulated.store().put("op/evacuate/riga-1", "{}"); });
+    loop.onSignal(SIGUSR2, [&] { simulated.store().erase("op/evacuate/riga-1"); });
+    fmt::print("platform stand-in: serving {} shards\n", absl::GetFlag(FLAGS_shards));
     loop.run();
     return 0;
 }
