--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -329,6 +329,82 @@
     }
 }
 
+TEST_CASE(
+    "a configuration confirmed after a restore of the store is active in time and none reverts")
+{
+    using standins::pending_watches;
+    struct row
+    {
+        std::string name;
+        /** Whether the configuration is written, and the revision overtakes the host's, before the
+            host can call the store again. */
+        bool isOvertaken;
+        pending_watches watches;
+        bool isReportingEra;
+        std::size_t restores;
+    };
+    const row rows[] = {
+        {"revisions stay below the host's", false, pending_watches::Close, true, 1},
+        {"revisions overtake the host's unnoticed", true, pending_watches::Close, true, 1},
+        {"waiting watches are never answered", true, pending_watches::Hang, true, 1},
+        {"restored twice before the host notices", true, pending_watches::Close, true, 2},
+        {"the store does not report its era", false, pending_watches::Close, false, 1},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        f.store.setReportingEra(item.isReportingEra);
+        const auto firstServiceRuns = [&] {
+            return f.targets[0]->runCount() + f.targets[1]->runCount();
+        };
+        std::size_t sentCount = 0;
+        const auto sendRequest = [&] {
+            return f.get("/one/x", callerPort, "GET", fmt::format("id-{}", ++sentCount)).status;
+        };
+        const auto writeConfigurations = [&] {
+            f.writeConfiguration(5, "s2");
+            f.writeConfiguration(9, "s1");
+        };
+        f.store.takeCopy();
+        for (std::uint64_t sequence = 2; sequence < 10; ++sequence)
+            f.registerTarget(0, "ready", sequence);
+        f.writeConfiguration(5, "s2");
+        f.runFor(activationTimeLimit);
+        const std::size_t runsBefore = firstServiceRuns();
+
+        f.store.setMode(standins::store_mode::Unavailable);
+        for (std::size_t i = 0; i < item.restores; ++i)
+            f.store.restoreCopy(item.watches);
+        if (item.isOvertaken) {
+            writeConfigurations();
+            for (int i = 0; i < 40; ++i)
+                f.store.put("elsewhere/key", std::to_string(i));
+        }
+        f.runFor(300ms);
+        f.store.setMode(standins::store_mode::Serving);
+        // The platform requires a change to apply 3 s after the store has worked for 4 s.
+        const time_point timeLimit = f.time.now() + 7s;
+        if (!item.isOvertaken) {
+            for (int i = 0; i < 10; ++i) {
+                CHECK(sendRequest() == 200);
+                f.runFor(100ms);
+            }
+            CHECK(firstServiceRuns() == runsBefore);
+            writeConfigurations();
+        }
+        while (firstServiceRuns() == runsBefore && f.time.now() < timeLimit) {
+            CHECK(sendRequest() == 200);
+            f.runFor(100ms);
+        }
+        CHECK(firstServiceRuns() > runsBefore);
+        const std::size_t callsBefore = f.store.callCount();
+        f.runFor(1s);
+        // A watch, the renewal of a lease, and a spare call each.
+        CHECK(f.store.callCount() - callsBefore <= 4);
+        CHECK(f.store.keyCount("hosts/") == 1);
+    }
+}
+
 TEST_CASE("a caller that disconnects cancels its attempts at the targets")
 {
     platform_fixture f;
