Order the store's revisions only within an era, so that hosts follow a restored store

What callers saw: after the store had come back from a copy some seconds old, requests were handled as an older configuration says, although a newer one had been confirmed long before; new routes got 404. The hosts also listed the store in a tight loop (13,152 calls in a second by one host), or saw no error at all.

Cause: revisions of the store were compared and trusted to rise. A restore gives them out again. The mirror dropped every item below the revision that it knew, and kept the greater position; where the store's counter had overtaken that, it skipped the changes in between silently. The same class: the relay's log compared a follower's number with its own, whichever history it was of, and a host kept renewing a lease id that could by then be another's.

Change: one concept, store_position, an era and a revision without relational operators. Mirror, listing, watch, change log, relay requests and their encoding keep positions, a lease keeps its era. A new era, or a lower revision in the same one, makes the mirror list again and take what the store holds; missing keys get the grace period of an outage. Versions of configurations are the operators' and still never go back. A store that lacks what it has just listed is called again after a delay.

Ruled out: the version guard (no configuration-ignored), a hung watch (the store answered all the while), the relay as the only cause (hosts without one failed alike).

--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -41,7 +41,9 @@
     prometheus::Counter &storeFailures;
     prometheus::Counter &storeListings;
     prometheus::Counter &storeItemsOutdated;
+    prometheus::Counter &storeRestores;
     prometheus::Gauge &storeRevision;
+    prometheus::Gauge &storeEra;
     prometheus::Counter &logLinesDropped;
     prometheus::Gauge &configurationVersion;
     prometheus::Gauge &targets;
--- a/include/mustardcourse/store/change_log.h
+++ b/include/mustardcourse/store/change_log.h
@@ -16,19 +16,21 @@
 class change_log
 {
 public:
-    /** Appends the changes after a revision. If there is a gap to the logged changes, those are
-        discarded. */
-    void append(revision since, const store_batch &changes);
+    /** Appends the changes after a position. If there is a gap to the logged changes, or the store
+        has begun another era, those are discarded. */
+    void append(const store_position &since, const store_batch &changes);
 
-    /** Returns the changes after a revision, or nothing if the log does not hold all of them. */
-    [[nodiscard]] std::optional<store_batch> changesSince(revision since) const;
+    /** Returns the changes after a position, or nothing if the log does not hold all of them or is
+        of another era. */
+    [[nodiscard]] std::optional<store_batch> changesSince(const store_position &since) const;
 
 private:
+    void restartAt(const store_position &begin);
     void dropOldest();
 
-    /** The log holds every change after this revision, up to and including m_current. */
-    revision m_begin;
-    revision m_current;
+    /** The log holds every change after this position, up to and including m_current. */
+    store_position m_begin;
+    store_position m_current;
     bool m_isUninitialised = true;
     std::deque<store_item> m_items;
     std::size_t m_bytes = 0;
--- a/include/mustardcourse/store/change_relay.h
+++ b/include/mustardcourse/store/change_relay.h
@@ -11,7 +11,7 @@
 /**
     Forwards the changes that this host receives from the store to other hosts.
 
-    A host requests the changes after a revision. It gets a response at once if there are any,
+    A host requests the changes after a position. It gets a response at once if there are any,
     otherwise at the end of this host's own watch, so that a response is as current as one of the
     store itself. While the store does not answer, requests fail with
     relay_status::storeUnreachable, and the hosts query the store directly.
@@ -23,8 +23,11 @@
     void serve(std::unique_ptr<http::caller_exchange> exchange);
 
     /** Processes the result of a watch of this host and responds to the pending requests.
-        @param since  the revision after which changes were requested */
-    void onWatchResult(revision since, const store_batch &changes);
+        @param since  the position after which changes were requested */
+    void onWatchResult(const store_position &since, const store_batch &changes);
+
+    /** Rejects the pending requests, as the store has begun another era than theirs. */
+    void onNewEra();
 
     /** Sets whether this host serves others; initially it rejects their requests. */
     void setServing(bool isServing);
@@ -33,7 +36,7 @@
 private:
     struct pending_request
     {
-        revision since;
+        store_position since;
         std::unique_ptr<http::caller_exchange> exchange;
     };
 
@@ -58,7 +61,7 @@
 constexpr int storeUnreachable = 503;
 } // namespace relay_status
 
-/** Prefix of the request target; the revision follows. */
-constexpr std::string_view relayPath = "/changes?after=";
+/** Returns the request target for the changes after a position. */
+std::string relayTarget(const store_position &since);
 
 } // namespace mustardcourse::store
--- a/include/mustardcourse/store/lease_membership.h
+++ b/include/mustardcourse/store/lease_membership.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <mustardcourse/core/hash.h>
 #include <mustardcourse/core/log.h>
 #include <mustardcourse/net/loop.h>
 #include <mustardcourse/store/store_port.h>
 
 #include <algorithm>
 #include <concepts>
+#include <optional>
 #include <string>
 
 namespace mustardcourse::store {
@@ -13,12 +15,13 @@
 /** A store that grants leases and removes keys when their lease ends. */
 template <typename Store>
 concept leasing_store = requires(Store &store, duration leaseLifetime, const std::string &text,
-                                 lease_handler onLease, completion_handler onDone)
+                                 const lease_id &lease, lease_handler onLease,
+                                 completion_handler onDone)
 {
     store.grantLease(leaseLifetime, onLease);
-    store.renewLease(text, onDone);
-    store.revokeLease(text);
-    store.put(text, text, text, onDone);
+    store.renewLease(lease, onDone);
+    store.revokeLease(lease);
+    store.put(text, text, lease, onDone);
 };
 
 struct membership_settings
@@ -57,13 +60,26 @@
     /** Requests a lease and writes the key; retries until leave() is called. */
     void join() { renew(); }
 
+    /** Joins again if the lease was granted in an earlier era of the store than this one. Hosts do
+        so at different times, as the store meters their calls. */
+    void onNewEra(store_era era)
+    {
+        if (!m_lease || m_lease->era == era)
+            return;
+        m_log.warning("membership-lapsed", {{"key", m_settings.key}, {"era", era.value()}});
+        m_lease.reset();
+        constexpr std::int64_t steps = 1024;
+        const auto step = static_cast<std::int64_t>(stableHash(m_settings.key) % steps);
+        schedule(m_settings.initialRetryDelay * step / steps);
+    }
+
     /** Revokes the lease, so that others take over this host's shares of the limits at once. */
     void leave()
     {
         m_timer.stop();
         m_isLeaving = true;
-        if (!m_lease.empty())
-            m_store.revokeLease(m_lease);
+        if (m_lease)
+            m_store.revokeLease(*m_lease);
     }
 
 private:
@@ -71,9 +87,9 @@
     {
         if (m_isLeaving)
             return;
-        if (m_lease.empty())
+        if (!m_lease)
             return grant();
-        m_store.renewLease(m_lease, [this](store_failure failure) { onRenewed(failure); });
+        m_store.renewLease(*m_lease, [this](store_failure failure) { onRenewed(failure); });
     }
 
     void grant()
@@ -82,15 +98,18 @@
             if (granted.failure != store_failure::None)
                 return scheduleRetry(granted.failure);
             m_lease = granted.lease;
-            m_store.put(m_settings.key, m_settings.value, m_lease,
+            m_store.put(m_settings.key, m_settings.value, *m_lease,
                         [this](store_failure failure) { onPut(failure); });
         });
     }
 
     void onPut(store_failure failure)
     {
+        // The lease was given up meanwhile, and the host is about to join again.
+        if (!m_lease)
+            return;
         if (failure != store_failure::None) {
-            m_lease.clear();
+            m_lease.reset();
             return scheduleRetry(failure);
         }
         m_log.info("membership-joined", {{"key", m_settings.key}});
@@ -100,9 +119,11 @@
 
     void onRenewed(store_failure failure)
     {
+        if (!m_lease)
+            return;
         if (failure == store_failure::NotFound) {
             m_log.warning("membership-lapsed", {{"key", m_settings.key}});
-            m_lease.clear();
+            m_lease.reset();
             return schedule(duration::zero());
         }
         if (failure != store_failure::None)
@@ -129,7 +150,7 @@
     Store &m_store;
     membership_settings m_settings;
     std::function<void()> m_onFailure;
-    std::string m_lease;
+    std::optional<lease_id> m_lease;
     bool m_isLeaving = false;
     duration m_nextRetryDelay;
     net::timer m_timer;
--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -51,13 +51,14 @@
     }
 
     /** @see watchable_store */
-    void watch(std::string_view prefix, revision since, duration wait, batch_handler handler);
+    void watch(std::string_view prefix, const store_position &since, duration wait,
+               batch_handler handler);
 
 private:
-    void watchDirectly(const std::string &prefix, revision since, duration wait,
+    void watchDirectly(const std::string &prefix, const store_position &since, duration wait,
                        batch_handler handler);
     void onRelayAnswer(std::optional<http::response> &&answer, const std::string &prefix,
-                       revision since, duration wait, batch_handler handler);
+                       const store_position &since, duration wait, batch_handler handler);
 
     net::loop &m_loop;
     const clock &m_clock;
@@ -84,8 +85,8 @@
 }
 
 template <watchable_store Store>
-void relayed_store<Store>::watch(std::string_view prefix, revision since, duration wait,
-                                 batch_handler handler)
+void relayed_store<Store>::watch(std::string_view prefix, const store_position &since,
+                                 duration wait, batch_handler handler)
 {
     if (!m_relay || m_clock.now() < m_relayAvoidedUntil)
         return watchDirectly(std::string(prefix), since, wait, std::move(handler));
@@ -98,8 +99,8 @@
                 .responseLimits = {std::size_t{16} * 1024, std::size_t{8} * 1024 * 1024}});
     }
     http::exchange_request request;
-    request.bytes = fmt::format("GET {}{} HTTP/1.1\r\nHost: {}\r\n\r\n", relayPath, since.value(),
-                                m_relay->toString());
+    request.bytes =
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", relayTarget(since), m_relay->toString());
     http::sendWithTimeout(m_loop, *m_pool, std::move(request), m_settings.relayTimeout,
                           [this, prefix = std::string(prefix), since, wait,
                            handler = std::move(handler)](std::optional<http::response> &&answer) {
@@ -109,26 +110,28 @@
 
 template <watchable_store Store>
 void relayed_store<Store>::onRelayAnswer(std::optional<http::response> &&answer,
-                                         const std::string &prefix, revision since, duration wait,
-                                         batch_handler handler)
+                                         const std::string &prefix, const store_position &since,
+                                         duration wait, batch_handler handler)
 {
     store_batch batch;
     batch.failure = store_failure::Unanswered;
     if (answer && answer->status == relay_status::changes)
         batch = decodeBatch(answer->body);
-    if (batch.failure == store_failure::None)
+    const bool isUsable = batch.failure == store_failure::None && batch.current.isSameEra(since);
+    if (isUsable)
         return handler(std::move(batch));
     m_relayAvoidedUntil = m_clock.now() + m_settings.relayAvoidanceTime;
     m_areChangesOverdue = true;
-    m_log.info("relay-failed", {{"status", answer ? answer->status : 0}, {"since", since.value()}});
+    m_log.info("relay-failed",
+               {{"status", answer ? answer->status : 0}, {"since", since.number().value()}});
     if (answer && answer->status == relay_status::storeUnreachable)
         m_onStoreUnreachable();
     watchDirectly(prefix, since, wait, std::move(handler));
 }
 
 template <watchable_store Store>
-void relayed_store<Store>::watchDirectly(const std::string &prefix, revision since, duration wait,
-                                         batch_handler handler)
+void relayed_store<Store>::watchDirectly(const std::string &prefix, const store_position &since,
+                                         duration wait, batch_handler handler)
 {
     // After a failure the changes are overdue, and the store may not answer this watch either.
     // While this host is the relay, its watch bounds how long other hosts wait for a response.
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -7,14 +7,17 @@
 #include <algorithm>
 #include <concepts>
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 
 namespace mustardcourse::store {
 
 /** A store whose keys can be listed and watched. */
 template <typename Store>
 concept watchable_store = requires(Store &store, std::string_view prefix, std::string_view after,
-                                   revision since, duration wait, batch_handler handler)
+                                   const store_position &since, duration wait,
+                                   batch_handler handler)
 {
     store.list(prefix, after, handler);
     store.watch(prefix, since, wait, handler);
@@ -23,9 +26,11 @@
 /** How far a mirror has followed the store, for metrics. */
 struct mirror_progress
 {
-    /** The mirror reflects the store up to this revision. */
-    revision currentRevision;
+    /** The mirror reflects the store up to this position. */
+    store_position position;
     std::size_t completedListings = 0;
+    /** Restores of the store from an older copy that were noticed. */
+    std::size_t restores = 0;
     /** Items that were not applied, as the mirror has a newer revision of their key. */
     std::size_t outdatedItems = 0;
 };
@@ -67,11 +72,12 @@
 
 /**
     Mirrors keys of the store: lists them, then watches for changes, and lists them again whenever
-    the store has compacted changes that the mirror has not received.
+    the store has compacted changes that the mirror has not received, or was restored from an older
+    copy.
 
-    Mirrored values stay valid while the store is unreachable. A value is never replaced by one of
-    an older revision. Keys that disappear around an outage are reported as removed only after
-    their owners had time to write them again.
+    Mirrored values stay valid while the store is unreachable. Within an era of the store, a value
+    is never replaced by one of an older revision. Keys that disappear around an outage or a restore
+    are reported as removed only after their owners had time to write them again.
 */
 template <watchable_store Store>
 class store_mirror
@@ -87,6 +93,10 @@
         alive. */
     void recordStoreFailure();
 
+    /** Lists the keys again if they are of another era of the store. Another call may learn of a
+        new era before the watch does, which may never be answered. */
+    void onNewEra(store_era era);
+
     [[nodiscard]] bool isComplete() const noexcept { return m_isComplete; }
     [[nodiscard]] const mirror_progress &progress() const noexcept { return m_progress; }
 
@@ -96,6 +106,8 @@
     void completeListing();
     void watch();
     void onChanges(store_batch &&changes);
+    [[nodiscard]] bool isOfOtherHistory(const store_position &current) const;
+    void beginHistory(const store_position &current);
     void apply(store_item &&item);
     void handleMissing(const std::string &key);
     void retry(store_failure failure, std::string_view call);
@@ -108,12 +120,17 @@
     Store &m_store;
     mirror_listener &m_listener;
     mirror_settings m_settings;
-    std::map<std::string, revision> m_revisions;
+    std::map<std::string, store_position> m_positions;
     /** Keys that disappeared around an outage, with the end of their grace period. */
     std::map<std::string, time_point> m_missingKeys;
     std::set<std::string> m_listedKeys;
     mirror_progress m_progress;
-    revision m_listingRevision;
+    /** The position of the first page of the present listing. */
+    std::optional<store_position> m_listingPosition;
+    /** Identifies the latest watch; responses to earlier ones are ignored. */
+    std::uint64_t m_watchNumber = 0;
+    /** Whether the last watch failed because its changes had been compacted. */
+    bool m_wasHistoryCompacted = false;
     bool m_isComplete = false;
     bool m_isListingNeeded = true;
     bool m_isStoreUnreachable = false;
@@ -148,7 +165,7 @@
 void store_mirror<Store>::recordStoreFailure()
 {
     if (!m_isStoreUnreachable)
-        m_log.warning("store-lost", {{"revision", m_progress.currentRevision.value()}});
+        m_log.warning("store-lost", {{"revision", m_progress.position.number().value()}});
     m_isStoreUnreachable = true;
     m_unreachableUntil = m_clock.now();
 }
@@ -161,7 +178,7 @@
         return;
     m_isStoreUnreachable = false;
     m_unreachableUntil = m_clock.now();
-    m_log.info("store-regained", {{"revision", m_progress.currentRevision.value()}});
+    m_log.info("store-regained", {{"revision", m_progress.position.number().value()}});
 }
 
 template <watchable_store Store>
@@ -180,7 +197,7 @@
 {
     if (prefixIndex == 0 && after.empty()) {
         m_listedKeys.clear();
-        m_listingRevision = revision();
+        m_listingPosition.reset();
         m_isListingNeeded = true;
     }
     m_store.list(m_settings.prefixes[prefixIndex], after,
@@ -193,9 +210,15 @@
     if (page.failure != store_failure::None)
         return retry(page.failure, "list");
     recordStoreResponse();
-    // Pages are not one snapshot, so the watch starts at the revision of the first page.
-    if (m_listingRevision == revision())
-        m_listingRevision = page.currentRevision;
+    const bool isFirstPage = !m_listingPosition;
+    if (isOfOtherHistory(page.current)) {
+        beginHistory(page.current);
+        if (!isFirstPage)
+            return list(0, "");
+    }
+    // Pages are not one snapshot, so the watch starts at the position of the first page.
+    if (isFirstPage)
+        m_listingPosition = page.current;
     const std::string last = page.items.empty() ? std::string() : page.items.back().key;
     for (store_item &item : page.items) {
         m_listedKeys.insert(item.key);
@@ -212,17 +235,19 @@
 void store_mirror<Store>::completeListing()
 {
     std::vector<std::string> missing;
-    for (const auto &[key, modRevision] : m_revisions) {
+    for (const auto &[key, position] : m_positions) {
         if (!m_listedKeys.contains(key))
             missing.push_back(key);
     }
     for (const std::string &key : missing)
         handleMissing(key);
-    m_progress.currentRevision = std::max(m_progress.currentRevision, m_listingRevision);
+    if (!m_listingPosition->isBefore(m_progress.position))
+        m_progress.position = *m_listingPosition;
+    m_listingPosition.reset();
     m_isListingNeeded = false;
     ++m_progress.completedListings;
     m_log.info("store-listed",
-               {{"keys", m_listedKeys.size()}, {"revision", m_progress.currentRevision.value()}});
+               {{"keys", m_listedKeys.size()}, {"revision", m_progress.position.number().value()}});
     if (!m_isComplete) {
         m_isComplete = true;
         m_listener.onInitialListingComplete();
@@ -233,26 +258,80 @@
 template <watchable_store Store>
 void store_mirror<Store>::watch()
 {
-    m_store.watch(m_settings.watchedPrefix, m_progress.currentRevision, m_settings.watchDuration,
-                  [this](store_batch &&changes) { onChanges(std::move(changes)); });
+    const std::uint64_t number = ++m_watchNumber;
+    m_store.watch(m_settings.watchedPrefix, m_progress.position, m_settings.watchDuration,
+                  [this, number](store_batch &&changes) {
+                      if (number == m_watchNumber)
+                          onChanges(std::move(changes));
+                  });
 }
 
 template <watchable_store Store>
 void store_mirror<Store>::onChanges(store_batch &&changes)
 {
     if (changes.failure == store_failure::HistoryCompacted) {
-        m_log.info("store-history-gone", {{"revision", m_progress.currentRevision.value()}});
-        return list(0, "");
+        m_log.info("store-history-gone", {{"revision", m_progress.position.number().value()}});
+        const bool isRepeated = std::exchange(m_wasHistoryCompacted, true);
+        if (!isRepeated)
+            return list(0, "");
+        // A store that lacks what it has just listed must not be called in a tight loop.
+        m_isListingNeeded = true;
+        m_callTimer.start(m_settings.maximumRetryDelay);
+        return;
     }
     if (changes.failure != store_failure::None)
         return retry(changes.failure, "watch");
     recordStoreResponse();
+    if (isOfOtherHistory(changes.current)) {
+        beginHistory(changes.current);
+        return list(0, "");
+    }
+    m_wasHistoryCompacted = false;
     for (store_item &item : changes.items)
         apply(std::move(item));
-    m_progress.currentRevision = std::max(m_progress.currentRevision, changes.currentRevision);
+    m_progress.position = changes.current;
     m_callTimer.start(changes.items.empty() ? duration::zero() : m_settings.watchPause);
 }
 
+template <watchable_store Store>
+bool store_mirror<Store>::isOfOtherHistory(const store_position &current) const
+{
+    const bool isFirstResponse = !m_isComplete && !m_listingPosition;
+    if (isFirstResponse)
+        return false;
+    const store_position &known = m_listingPosition ? *m_listingPosition : m_progress.position;
+    // The store's revision only decreases if it was restored, whether it reports an era or not.
+    return !current.isSameEra(known) || current.isBefore(known);
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::beginHistory(const store_position &current)
+{
+    m_log.warning("store-restored",
+                  {{"era", current.era().value()},
+                   {"revision", current.number().value()},
+                   {"known_era", m_progress.position.era().value()},
+                   {"known_revision", m_progress.position.number().value()}});
+    ++m_progress.restores;
+    // What was written since the copy is lost, and its owners write it again, as after an outage.
+    m_unreachableUntil = m_clock.now();
+    const store_position beginning(current.era(), revision());
+    for (auto &[key, position] : m_positions)
+        position = beginning;
+    m_progress.position = beginning;
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::onNewEra(store_era era)
+{
+    const bool isWatching = m_isComplete && !m_isListingNeeded;
+    if (!isWatching || era == m_progress.position.era())
+        return;
+    ++m_watchNumber;
+    m_callTimer.stop();
+    list(0, "");
+}
+
 template <watchable_store Store>
 void store_mirror<Store>::apply(store_item &&item)
 {
@@ -261,21 +340,21 @@
                     [&](const std::string &prefix) { return item.key.starts_with(prefix); });
     if (!isMirrored)
         return;
-    const auto existing = m_revisions.find(item.key);
-    const bool isOlder = existing != m_revisions.end() && item.modRevision < existing->second;
+    const auto existing = m_positions.find(item.key);
+    const bool isOlder = existing != m_positions.end() && item.modified.isBefore(existing->second);
     if (isOlder) {
         ++m_progress.outdatedItems;
         m_log.writeRateLimited("store-item-outdated",
                                {{"key", item.key},
-                                {"revision", item.modRevision.value()},
-                                {"known_revision", existing->second.value()}});
+                                {"revision", item.modified.number().value()},
+                                {"known_revision", existing->second.number().value()}});
         return;
     }
     if (item.isDeleted)
         return handleMissing(item.key);
     const bool wasMissing = m_missingKeys.erase(item.key) > 0;
-    const bool isNewer = existing == m_revisions.end() || existing->second < item.modRevision;
-    m_revisions[item.key] = item.modRevision;
+    const bool isNewer = existing == m_positions.end() || existing->second != item.modified;
+    m_positions[item.key] = item.modified;
     if (isNewer || wasMissing)
         m_listener.onKeyUpdated(item.key, item.value);
 }
@@ -283,11 +362,11 @@
 template <watchable_store Store>
 void store_mirror<Store>::handleMissing(const std::string &key)
 {
-    if (!m_revisions.contains(key))
+    if (!m_positions.contains(key))
         return;
     const time_point graceEnd = m_unreachableUntil + m_settings.expiryGracePeriod;
     if (!m_isStoreUnreachable && m_clock.now() >= graceEnd) {
-        m_revisions.erase(key);
+        m_positions.erase(key);
         m_listener.onKeyRemoved(key);
         return;
     }
@@ -308,7 +387,7 @@
     }
     const auto missing = std::exchange(m_missingKeys, {});
     for (const auto &[key, until] : missing) {
-        m_revisions.erase(key);
+        m_positions.erase(key);
         m_listener.onKeyRemoved(key);
     }
 }
--- a/include/mustardcourse/store/store_port.h
+++ b/include/mustardcourse/store/store_port.h
@@ -2,6 +2,7 @@
 
 #include <mustardcourse/core/clock.h>
 #include <mustardcourse/core/ids.h>
+#include <mustardcourse/store/store_position.h>
 
 #include <functional>
 #include <string>
@@ -24,6 +25,8 @@
     Unanswered,
     /** The response cannot be decoded. */
     Malformed,
+    /** The response was sent before the store was restored from an older copy. */
+    Outdated,
 };
 
 /** Returns the lower-case name of a failure for log lines. */
@@ -34,7 +37,7 @@
 {
     std::string key;
     std::string value;
-    revision modRevision;
+    store_position modified;
     bool isDeleted = false;
 };
 
@@ -43,16 +46,24 @@
 {
     store_failure failure = store_failure::None;
     std::vector<store_item> items;
-    /** The batch reflects the store up to this revision. */
-    revision currentRevision;
+    /** The batch reflects the store up to this position. */
+    store_position current;
     bool hasMorePages = false;
 };
 
+/** A lease. It ends with the era of the store in which it was granted, as its id can be granted
+    again in the next one. */
+struct lease_id
+{
+    store_era era;
+    std::string id;
+};
+
 /** Result of a request for a lease. */
 struct lease_grant
 {
     store_failure failure = store_failure::None;
-    std::string lease;
+    lease_id lease;
     duration lifetime{0};
 };
 
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -51,8 +51,11 @@
                             "Complete listings of the store's keys"))
     , storeItemsOutdated(counter(m_registry, "mustardcourse_store_items_outdated_total",
                                  "Items of the store ignored for a newer revision of their key"))
+    , storeRestores(counter(m_registry, "mustardcourse_store_restores_total",
+                            "Restores of the store from an older copy"))
     , storeRevision(gauge(m_registry, "mustardcourse_store_revision",
                           "Revision up to which this host has followed the store"))
+    , storeEra(gauge(m_registry, "mustardcourse_store_era", "Era of that revision"))
     , logLinesDropped(counter(m_registry, "mustardcourse_log_lines_dropped_total",
                               "Log lines dropped to limit their volume"))
     , configurationVersion(gauge(m_registry, "mustardcourse_configuration_version",
--- a/modules/store/change_batch.capnp
+++ b/modules/store/change_batch.capnp
@@ -7,6 +7,8 @@
 struct ChangeBatch {
   current @0 :UInt64;
   items @1 :List(Item);
+  # Of all revisions in the batch; zero if the store does not report it.
+  era @2 :UInt64;
 
   struct Item {
     key @0 :Text;
--- a/modules/store/change_log.cpp
+++ b/modules/store/change_log.cpp
@@ -24,42 +24,50 @@
 
 } // namespace
 
-void change_log::append(revision since, const store_batch &changes)
+void change_log::append(const store_position &since, const store_batch &changes)
 {
-    const bool hasGap = m_isUninitialised || since > m_current;
-    if (hasGap) {
-        m_items.clear();
-        m_bytes = 0;
-        m_begin = since;
-        m_current = since;
-        m_isUninitialised = false;
-    }
+    const bool isContiguous =
+        !m_isUninitialised && since.isSameEra(m_current) && !m_current.isBefore(since);
+    if (!isContiguous)
+        restartAt(since);
+    if (!changes.current.isSameEra(m_current))
+        return restartAt(changes.current);
     for (const store_item &item : changes.items) {
-        if (item.modRevision <= m_current)
+        if (!m_current.isBefore(item.modified))
             continue;
         m_items.push_back(item);
         m_bytes += payloadSize(item);
     }
-    m_current = std::max(m_current, changes.currentRevision);
+    if (m_current.isBefore(changes.current))
+        m_current = changes.current;
     while (m_items.size() > maximumItems || m_bytes > maximumBytes)
         dropOldest();
 }
 
+void change_log::restartAt(const store_position &begin)
+{
+    m_items.clear();
+    m_bytes = 0;
+    m_begin = begin;
+    m_current = begin;
+    m_isUninitialised = false;
+}
+
 void change_log::dropOldest()
 {
-    m_begin = m_items.front().modRevision;
+    m_begin = m_items.front().modified;
     m_bytes -= payloadSize(m_items.front());
     m_items.pop_front();
 }
 
-std::optional<store_batch> change_log::changesSince(revision since) const
+std::optional<store_batch> change_log::changesSince(const store_position &since) const
 {
-    if (m_isUninitialised || since < m_begin)
+    if (m_isUninitialised || !since.isSameEra(m_current) || since.isBefore(m_begin))
         return std::nullopt;
     store_batch batch;
-    batch.currentRevision = std::max(since, m_current);
+    batch.current = m_current.isBefore(since) ? since : m_current;
     const auto first = std::find_if(m_items.begin(), m_items.end(), [&](const store_item &item) {
-        return item.modRevision > since;
+        return since.isBefore(item.modified);
     });
     batch.items.assign(first, m_items.end());
     return batch;
@@ -69,7 +77,8 @@
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<rpc::ChangeBatch>();
-    root.setCurrent(batch.currentRevision.value());
+    root.setCurrent(batch.current.number().value());
+    root.setEra(batch.current.era().value());
     auto items = root.initItems(static_cast<unsigned>(batch.items.size()));
     for (unsigned i = 0; i < items.size(); ++i) {
         const store_item &item = batch.items[i];
@@ -77,7 +86,7 @@
         encodedItem.setKey(item.key);
         encodedItem.setValue(
             kj::arrayPtr(reinterpret_cast<const kj::byte *>(item.value.data()), item.value.size()));
-        encodedItem.setChanged(item.modRevision.value());
+        encodedItem.setChanged(item.modified.number().value());
         encodedItem.setIsDeleted(item.isDeleted);
     }
     const auto words = capnp::messageToFlatArray(message);
@@ -94,12 +103,13 @@
     try {
         capnp::FlatArrayMessageReader message(words);
         const auto root = message.getRoot<rpc::ChangeBatch>();
-        batch.currentRevision = revision(root.getCurrent());
+        const store_era era(root.getEra());
+        batch.current = store_position(era, revision(root.getCurrent()));
         for (const auto item : root.getItems()) {
             const auto value = item.getValue();
             batch.items.push_back({item.getKey().cStr(),
                                    {reinterpret_cast<const char *>(value.begin()), value.size()},
-                                   revision(item.getChanged()),
+                                   store_position(era, revision(item.getChanged())),
                                    item.getIsDeleted()});
         }
     } catch (const kj::Exception &) {
--- a/modules/store/change_relay.cpp
+++ b/modules/store/change_relay.cpp
@@ -1,21 +1,37 @@
 #include <mustardcourse/store/change_relay.h>
 
+#include <fmt/format.h>
+
 #include <charconv>
 
 namespace mustardcourse::store {
 
 namespace {
 
-std::optional<revision> parseRevision(std::string_view target)
+constexpr std::string_view revisionPrefix = "/changes?after=";
+constexpr std::string_view eraPrefix = "&era=";
+
+/** Reads a prefix and the number behind it, and removes both from the text. */
+std::optional<std::uint64_t> readNumber(std::string_view &text, std::string_view prefix)
 {
-    if (!target.starts_with(relayPath))
+    if (!text.starts_with(prefix))
         return std::nullopt;
-    const std::string_view digits = target.substr(relayPath.size());
+    text.remove_prefix(prefix.size());
     std::uint64_t number = 0;
-    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), number);
-    if (parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size())
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec != std::errc{})
+        return std::nullopt;
+    text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
+    return number;
+}
+
+std::optional<store_position> parsePosition(std::string_view target)
+{
+    const auto number = readNumber(target, revisionPrefix);
+    const auto era = readNumber(target, eraPrefix);
+    if (!number || !era || !target.empty())
         return std::nullopt;
-    return revision(number);
+    return store_position(store_era(*era), revision(*number));
 }
 
 http::reply emptyReply(int status)
@@ -27,9 +43,15 @@
 
 } // namespace
 
+std::string relayTarget(const store_position &since)
+{
+    return fmt::format("{}{}{}{}", revisionPrefix, since.number().value(), eraPrefix,
+                       since.era().value());
+}
+
 void change_relay::serve(std::unique_ptr<http::caller_exchange> exchange)
 {
-    const auto since = parseRevision(exchange->receivedRequest().target);
+    const auto since = parsePosition(exchange->receivedRequest().target);
     if (!since)
         return exchange->respond(emptyReply(relay_status::badRequest));
     if (!m_isServing)
@@ -61,7 +83,7 @@
     request.exchange->respond(reply);
 }
 
-void change_relay::onWatchResult(revision since, const store_batch &changes)
+void change_relay::onWatchResult(const store_position &since, const store_batch &changes)
 {
     // A store that has compacted its history is reachable; only these changes are unavailable.
     const bool isHistoryCompacted = changes.failure == store_failure::HistoryCompacted;
@@ -76,6 +98,11 @@
         sendChanges(std::move(request));
 }
 
+void change_relay::onNewEra()
+{
+    rejectAll(relay_status::changesUnavailable);
+}
+
 void change_relay::setServing(bool isServing)
 {
     m_isServing = isServing;
--- a/standins/lib/platform_store.h
+++ b/standins/lib/platform_store.h
@@ -47,6 +47,9 @@
     /** Deletes a key. */
     void erase(const std::string &key);
 
+    /** Grants a lease that no key uses, in place of another client. */
+    void grantLease(duration lifetime) { startLease(++m_lastLeaseId, lifetime); }
+
     void setMode(store_mode mode);
 
     /** Compacts the history, so that watches from earlier revisions fail with status 410. */
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -14,14 +14,19 @@
 
 constexpr std::uint16_t relayPort = 20985;
 
+store_position at(std::uint64_t number, std::uint64_t era = 1)
+{
+    return {store_era(era), revision(number)};
+}
+
 store_item item(const std::string &key, std::uint64_t modRevision, const std::string &value = "v")
 {
-    return {key, value, revision(modRevision), false};
+    return {key, value, at(modRevision), false};
 }
 
 store_batch batch(std::vector<store_item> items, std::uint64_t currentRevision)
 {
-    return {store_failure::None, std::move(items), revision(currentRevision), false};
+    return {store_failure::None, std::move(items), at(currentRevision), false};
 }
 
 std::vector<std::string> keysOf(const std::optional<store_batch> &changes)
@@ -39,13 +44,13 @@
 {
     struct watch_call
     {
-        revision since;
+        store_position since;
         duration wait;
         batch_handler handler;
     };
 
     void list(std::string_view, std::string_view, batch_handler) { ++lists; }
-    void watch(std::string_view, revision since, duration wait, batch_handler handler)
+    void watch(std::string_view, const store_position &since, duration wait, batch_handler handler)
     {
         watches.push_back({since, wait, std::move(handler)});
     }
@@ -67,12 +72,12 @@
     fixture()
     {
         relay.setServing(true);
-        relay.onWatchResult(revision(10), batch({}, 10));
+        relay.onWatchResult(at(10), batch({}, 10));
     }
 
     void watch(std::uint64_t since)
     {
-        relayedStore.watch("", revision(since), 5500ms, [this](store_batch &&changes) {
+        relayedStore.watch("", at(since), 5500ms, [this](store_batch &&changes) {
             results.push_back(std::move(changes));
         });
     }
@@ -115,34 +120,66 @@
         {"beyond the end of the log", 20, true, {}},
     };
     change_log log;
-    CHECK_FALSE(log.changesSince(revision(0)));
-    log.append(revision(10), batch({item("a", 11), item("b", 12)}, 13));
-    log.append(revision(12), batch({item("b", 12), item("c", 14)}, 14));
+    CHECK_FALSE(log.changesSince(at(0)));
+    log.append(at(10), batch({item("a", 11), item("b", 12)}, 13));
+    log.append(at(12), batch({item("b", 12), item("c", 14)}, 14));
     for (const row &testCase : rows) {
         CAPTURE(testCase.name);
-        const auto changes = log.changesSince(revision(testCase.since));
+        const auto changes = log.changesSince(at(testCase.since));
         CHECK(changes.has_value() == testCase.isAvailable);
         CHECK(keysOf(changes) == testCase.keys);
         if (changes)
-            CHECK(changes->currentRevision >= revision(testCase.since));
+            CHECK_FALSE(changes->current.isBefore(at(testCase.since)));
     }
     // Changes between revisions 14 and 30 are missing.
-    log.append(revision(30), batch({item("d", 31)}, 31));
-    CHECK_FALSE(log.changesSince(revision(14)));
-    CHECK(keysOf(log.changesSince(revision(30))) == std::vector<std::string>{"d"});
+    log.append(at(30), batch({item("d", 31)}, 31));
+    CHECK_FALSE(log.changesSince(at(14)));
+    CHECK(keysOf(log.changesSince(at(30))) == std::vector<std::string>{"d"});
+}
+
+TEST_CASE("the change log returns nothing to a reader of another era of the store")
+{
+    struct row
+    {
+        std::string name;
+        store_position since;
+        bool isAvailable;
+    };
+    const row rows[] = {
+        {"the era of the log", at(11, 2), true},
+        {"an earlier era within the log's revisions", at(11, 1), false},
+        {"an earlier era beyond the log's revisions", at(40, 1), false},
+        {"a later era", at(11, 3), false},
+    };
+    change_log log;
+    log.append(at(30, 1), batch({item("old", 31)}, 31));
+    // The store was restored: this watch began in era 1 and was answered in era 2.
+    store_batch changes = batch({}, 10);
+    changes.current = at(10, 2);
+    log.append(at(31, 1), changes);
+    store_item change = item("new", 11);
+    change.modified = at(12, 2);
+    log.append(at(10, 2), {store_failure::None, {change}, at(12, 2), false});
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        const auto available = log.changesSince(testCase.since);
+        CHECK(available.has_value() == testCase.isAvailable);
+        if (available)
+            CHECK(keysOf(available) == std::vector<std::string>{"new"});
+    }
 }
 
 TEST_CASE("a reader of the bounded change log misses no change")
 {
     CHECK_PROPERTY("log", [](const std::vector<std::uint8_t> &sizes) {
         change_log log;
-        revision readerRevision(100);
+        store_position readerPosition = at(100);
         std::uint64_t now = 100;
         std::map<std::string, std::uint64_t> store;
         std::map<std::string, std::uint64_t> mirrored;
         std::size_t writeCount = 0;
         for (const std::uint8_t size : sizes) {
-            const revision since(now);
+            const store_position since = at(now);
             store_batch changes;
             // Transactions of two keys; large ones soon exceed the capacity of the log.
             for (std::uint8_t i = 0; i < size % 8; ++i) {
@@ -153,19 +190,19 @@
                     store[name] = now;
                 }
             }
-            changes.currentRevision = revision(now);
+            changes.current = at(now);
             log.append(since, changes);
             if (size % 3 != 0)
                 continue;
-            const auto available = log.changesSince(readerRevision);
+            const auto available = log.changesSince(readerPosition);
             if (!available) {
                 mirrored = store;
-                readerRevision = revision(now);
+                readerPosition = at(now);
                 continue;
             }
             for (const store_item &change : available->items)
-                mirrored[change.key] = change.modRevision.value();
-            readerRevision = available->currentRevision;
+                mirrored[change.key] = change.modified.number().value();
+            readerPosition = available->current;
             RC_ASSERT(mirrored == store);
         }
     });
@@ -173,21 +210,23 @@
 
 TEST_CASE("a batch survives encoding and other bytes are rejected")
 {
-    CHECK_PROPERTY(
-        "batch", [](const std::vector<std::string> &values, std::uint64_t currentRevision) {
-            store_batch original;
-            original.currentRevision = revision(currentRevision);
-            for (const std::string &value : values)
-                original.items.push_back({"key", value, revision(value.size()), value.empty()});
-            const store_batch decoded = decodeBatch(encodeBatch(original));
-            RC_ASSERT(decoded.failure == store_failure::None);
-            RC_ASSERT(decoded.currentRevision == original.currentRevision);
-            RC_ASSERT(decoded.items.size() == original.items.size());
-            for (std::size_t i = 0; i < decoded.items.size(); ++i) {
-                RC_ASSERT(decoded.items[i].value == original.items[i].value);
-                RC_ASSERT(decoded.items[i].isDeleted == original.items[i].isDeleted);
-            }
-        });
+    CHECK_PROPERTY("batch",
+                   [](const std::vector<std::string> &values, std::uint64_t currentRevision) {
+                       store_batch original;
+                       original.current = at(currentRevision, values.size());
+                       for (const std::string &value : values)
+                           original.items.push_back(
+                               {"key", value, at(value.size(), values.size()), value.empty()});
+                       const store_batch decoded = decodeBatch(encodeBatch(original));
+                       RC_ASSERT(decoded.failure == store_failure::None);
+                       RC_ASSERT(decoded.current == original.current);
+                       RC_ASSERT(decoded.items.size() == original.items.size());
+                       for (std::size_t i = 0; i < decoded.items.size(); ++i) {
+                           RC_ASSERT(decoded.items[i].value == original.items[i].value);
+                           RC_ASSERT(decoded.items[i].modified == original.items[i].modified);
+                           RC_ASSERT(decoded.items[i].isDeleted == original.items[i].isDeleted);
+                       }
+                   });
     CHECK_PROPERTY("bytes", [](const std::string &bytes) {
         // Any result is valid; there must be no crash or exception.
         const store_batch decoded = decodeBatch(bytes);
@@ -243,10 +282,10 @@
     f.watch(10);
     f.runFor(50ms);
     CHECK(f.results.empty());
-    f.relay.onWatchResult(revision(10), batch({item("a", 11)}, 11));
+    f.relay.onWatchResult(at(10), batch({item("a", 11)}, 11));
     f.runUntil([&] { return f.results.size() == 1; });
     CHECK(f.results[0].items.size() == 1);
-    CHECK(f.results[0].currentRevision == revision(11));
+    CHECK(f.results[0].current == at(11));
     // A host that is behind gets a response at once.
     f.watch(10);
     f.runUntil([&] { return f.results.size() == 2; });
@@ -268,18 +307,24 @@
     const row rows[] = {
         {"it is not serving", [](fixture &f) { f.relay.setServing(false); }, nothing, 500ms, 0},
         {"its log lacks the changes",
-         [](fixture &f) { f.relay.onWatchResult(revision(50), batch({}, 50)); }, nothing, 500ms, 0},
+         [](fixture &f) { f.relay.onWatchResult(at(50), batch({}, 50)); }, nothing, 500ms, 0},
         {"it does not respond", [](fixture &f) { f.isRelayUnresponsive = true; }, nothing, 2300ms,
          0},
         {"it refuses connections", [](fixture &f) { f.server.stopAccepting(); }, nothing, 500ms, 0},
         {"the store becomes unreachable for it", nothing,
          [](fixture &f) {
-             f.relay.onWatchResult(revision(10), {store_failure::Unanswered, {}, {}, false});
+             f.relay.onWatchResult(at(10), {store_failure::Unanswered, {}, {}, false});
          },
          500ms, 1},
+        {"it has followed the store into another era",
+         [](fixture &f) {
+             f.relay.onWatchResult(at(10), {store_failure::None, {}, at(10, 2), false});
+         },
+         nothing, 500ms, 0},
+        {"it learns of another era", nothing, [](fixture &f) { f.relay.onNewEra(); }, 500ms, 0},
         {"the history of the store is compacted", nothing,
          [](fixture &f) {
-             f.relay.onWatchResult(revision(10), {store_failure::HistoryCompacted, {}, {}, false});
+             f.relay.onWatchResult(at(10), {store_failure::HistoryCompacted, {}, {}, false});
          },
          500ms, 0},
         {"it stops serving", nothing, [](fixture &f) { f.relay.setServing(false); }, 500ms, 0},
@@ -293,7 +338,7 @@
         f.runFor(30ms);
         testCase.whilePending(f);
         f.runUntil([&] { return !f.directStore.watches.empty(); }, testCase.limit);
-        CHECK(f.directStore.watches.front().since == revision(10));
+        CHECK(f.directStore.watches.front().since == at(10));
         // The changes are already overdue, so the wait of the direct watch is shortened.
         CHECK(f.directStore.watches.front().wait <= 1500ms);
         CHECK(f.storeUnreachableCount == testCase.storeUnreachableCount);
--- a/tests/lease_membership_test.cpp
+++ b/tests/lease_membership_test.cpp
@@ -14,16 +14,16 @@
     void grantLease(duration, const lease_handler &handler)
     {
         ++calls;
-        handler({failure, failure == store_failure::None ? "1" : "", 5s});
+        handler({failure, {era, "1"}, 5s});
     }
-    void renewLease(const std::string &, const completion_handler &handler)
+    void renewLease(const lease_id &, const completion_handler &handler)
     {
         ++calls;
         const bool shouldUseConfiguredResult = doesLeaseExist || failure != store_failure::None;
         handler(shouldUseConfiguredResult ? failure : store_failure::NotFound);
     }
-    void revokeLease(const std::string &) { ++revokedLeases; }
-    void put(const std::string &key, const std::string &, const std::string &,
+    void revokeLease(const lease_id &) { ++revokedLeases; }
+    void put(const std::string &key, const std::string &, const lease_id &,
              const completion_handler &handler)
     {
         ++calls;
@@ -33,6 +33,7 @@
     }
 
     store_failure failure = store_failure::None;
+    store_era era{1};
     bool doesLeaseExist = true;
     std::size_t calls = 0;
     std::size_t revokedLeases = 0;
@@ -90,3 +91,25 @@
         CHECK(f.store.writtenKey == "hosts/a");
     }
 }
+
+TEST_CASE("a host joins again in a new era of the store although its lease seems to exist")
+{
+    fixture f;
+    f.membership.join();
+    f.membership.onNewEra(store_era(1));
+    f.store.writtenKey.clear();
+    f.runFor(20ms);
+    CHECK(f.store.writtenKey.empty());
+    f.store.era = store_era(2);
+    f.membership.onNewEra(store_era(2));
+    f.membership.leave();
+    // The id of a lease of an earlier era may be another host's now.
+    CHECK(f.store.revokedLeases == 0);
+
+    fixture g;
+    g.membership.join();
+    g.store.writtenKey.clear();
+    g.store.era = store_era(2);
+    g.membership.onNewEra(store_era(2));
+    g.runUntil([&] { return g.store.writtenKey == "hosts/a"; }, 60ms);
+}
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -405,6 +405,21 @@
     }
 }
 
+TEST_CASE("a host is a member again after a restore that grants its lease id to another client")
+{
+    platform_fixture f;
+    f.runUntil([&] { return f.store.keyCount("hosts/") == 1; });
+    // The copy is from before the start of the host.
+    f.store.restoreCopy();
+    for (int i = 0; i < 5; ++i)
+        f.store.grantLease(1min);
+    f.writeConfiguration(1);
+    CHECK(f.store.keyCount("hosts/") == 0);
+    f.runUntil([&] { return f.store.keyCount("hosts/") == 1; }, 7s);
+    f.runFor(6s); // Longer than the lease lasts without renewals.
+    CHECK(f.store.keyCount("hosts/") == 1);
+}
+
 TEST_CASE("a caller that disconnects cancels its attempts at the targets")
 {
     platform_fixture f;
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+store_position at(std::uint64_t number, std::uint64_t era = 1)
+{
+    return {store_era(era), revision(number)};
+}
+
 /** A store whose calls are answered explicitly, in order. */
 struct scripted_store
 {
@@ -17,32 +22,32 @@
     {
         lists.emplace_back(std::string(prefix), std::move(handler));
     }
-    void watch(std::string_view, revision since, duration, batch_handler handler)
+    void watch(std::string_view, const store_position &since, duration, batch_handler handler)
     {
         watches.emplace_back(since, std::move(handler));
     }
 
     /** Answers the oldest list call. */
     void answerList(std::vector<store_item> items, std::uint64_t currentRevision,
-                    bool hasMore = false)
+                    bool hasMore = false, std::uint64_t era = 1)
     {
         REQUIRE_FALSE(lists.empty());
         const auto handler = lists.front().second;
         lists.pop_front();
-        handler({store_failure::None, std::move(items), revision(currentRevision), hasMore});
+        handler({store_failure::None, std::move(items), at(currentRevision, era), hasMore});
     }
 
     void answerWatch(store_failure failure, std::vector<store_item> items,
-                     std::uint64_t currentRevision)
+                     std::uint64_t currentRevision, std::uint64_t era = 1)
     {
         REQUIRE_FALSE(watches.empty());
         const auto handler = watches.front().second;
         watches.pop_front();
-        handler({failure, std::move(items), revision(currentRevision), false});
+        handler({failure, std::move(items), at(currentRevision, era), false});
     }
 
     std::deque<std::pair<std::string, batch_handler>> lists;
-    std::deque<std::pair<revision, batch_handler>> watches;
+    std::deque<std::pair<store_position, batch_handler>> watches;
 };
 
 struct recording_listener final : mirror_listener
@@ -58,14 +63,15 @@
     bool isComplete = false;
 };
 
-store_item item(const std::string &key, const std::string &value, std::uint64_t modRevision)
+store_item item(const std::string &key, const std::string &value, std::uint64_t modRevision,
+                std::uint64_t era = 1)
 {
-    return {key, value, revision(modRevision), false};
+    return {key, value, at(modRevision, era), false};
 }
 
 store_item deletion(const std::string &key, std::uint64_t modRevision)
 {
-    return {key, "", revision(modRevision), true};
+    return {key, "", at(modRevision), true};
 }
 
 struct fixture : tests::loop_fixture
@@ -116,13 +122,13 @@
         fixture f;
         f.runFor(130ms); // The time before the first response counts as an outage.
         REQUIRE(f.listener.isComplete);
-        CHECK(f.store.watches.front().first == revision(10));
+        CHECK(f.store.watches.front().first == at(10));
         f.store.answerWatch(store_failure::None, testCase.changes, 12);
         const auto found = f.listener.values.find("t/a");
         CHECK((found == f.listener.values.end() ? "removed" : found->second) == testCase.expected);
         CHECK_FALSE(f.listener.values.contains("u/a"));
         f.runUntil([&] { return !f.store.watches.empty(); });
-        CHECK(f.store.watches.front().first == revision(12));
+        CHECK(f.store.watches.front().first == at(12));
     }
 }
 
@@ -170,7 +176,7 @@
     f.store.answerList({item("t/b", "2", 21)}, 22);
     CHECK(f.listener.values == std::map<std::string, std::string>{{"t/b", "2"}, {"t/c", "1"}});
     // Pages are not one snapshot, so the watch starts at the revision of the first page.
-    CHECK(f.store.watches.front().first == revision(20));
+    CHECK(f.store.watches.front().first == at(20));
 }
 
 TEST_CASE("failed calls are retried without losing mirrored keys")
@@ -182,6 +188,111 @@
         f.store.answerWatch(failure, {}, 0);
         CHECK(f.listener.values.size() == 2);
         f.runUntil([&] { return !f.store.watches.empty(); });
-        CHECK(f.store.watches.front().first == revision(10));
+        CHECK(f.store.watches.front().first == at(10));
+    }
+}
+
+TEST_CASE("after a restore the mirror takes what the store holds whatever its revisions are")
+{
+    using values = std::map<std::string, std::string>;
+    struct row
+    {
+        std::string name;
+        void (*restore)(fixture &);
+        values expectedAtOnce;
+        values expectedLater;
+    };
+    // Before, the mirror holds t/a and t/b, and has followed revision 10 of era 1.
+    const row rows[] = {
+        {"lower revisions",
+         [](fixture &f) {
+             f.store.answerWatch(store_failure::None, {}, 4, 2);
+             f.store.answerList({item("t/a", "0", 2, 2), item("t/b", "0", 3, 2)}, 4, false, 2);
+         },
+         {{"t/a", "0"}, {"t/b", "0"}},
+         {{"t/a", "0"}, {"t/b", "0"}}},
+        {"a revision that has overtaken the mirror's",
+         [](fixture &f) {
+             f.store.answerWatch(store_failure::None, {item("t/b", "2", 12, 2)}, 12, 2);
+             f.store.answerList({item("t/a", "9", 8, 2), item("t/b", "2", 12, 2)}, 12, false, 2);
+         },
+         {{"t/a", "9"}, {"t/b", "2"}},
+         {{"t/a", "9"}, {"t/b", "2"}}},
+        {"a compacted history first",
+         [](fixture &f) {
+             f.store.answerWatch(store_failure::HistoryCompacted, {}, 0);
+             f.store.answerList({item("t/a", "0", 2, 2), item("t/b", "0", 3, 2)}, 4, false, 2);
+         },
+         {{"t/a", "0"}, {"t/b", "0"}},
+         {{"t/a", "0"}, {"t/b", "0"}}},
+        {"a lower revision and no other era",
+         [](fixture &f) {
+             f.store.answerWatch(store_failure::HistoryCompacted, {}, 0);
+             f.store.answerList({item("t/a", "0", 2), item("t/b", "0", 3)}, 4);
+         },
+         {{"t/a", "0"}, {"t/b", "0"}},
+         {{"t/a", "0"}, {"t/b", "0"}}},
+        {"a key that the copy lacks",
+         [](fixture &f) {
+             f.store.answerWatch(store_failure::None, {}, 4, 2);
+             f.store.answerList({item("t/a", "0", 2, 2)}, 4, false, 2);
+         },
+         {{"t/a", "0"}, {"t/b", "1"}},
+         {{"t/a", "0"}}},
+        {"a page of the listing from each era",
+         [](fixture &f) {
+             f.store.answerWatch(store_failure::HistoryCompacted, {}, 0);
+             f.store.answerList({item("t/a", "5", 20)}, 20, true);
+             f.store.answerList({item("t/b", "0", 3, 2)}, 4, false, 2);
+             f.store.answerList({item("t/a", "0", 2, 2)}, 4, true, 2);
+             f.store.answerList({item("t/b", "0", 3, 2)}, 4, false, 2);
+         },
+         {{"t/a", "0"}, {"t/b", "0"}},
+         {{"t/a", "0"}, {"t/b", "0"}}},
+        {"two eras at once",
+         [](fixture &f) {
+             f.store.answerWatch(store_failure::None, {}, 30, 3);
+             f.store.answerList({item("t/a", "0", 2, 3), item("t/b", "0", 3, 3)}, 4, false, 3);
+         },
+         {{"t/a", "0"}, {"t/b", "0"}},
+         {{"t/a", "0"}, {"t/b", "0"}}},
+        {"another call learns of the era",
+         [](fixture &f) {
+             f.mirror.onNewEra(store_era(2));
+             f.store.answerList({item("t/a", "0", 2, 2), item("t/b", "0", 3, 2)}, 4, false, 2);
+             f.store.answerWatch(store_failure::None, {item("t/a", "8", 11)}, 11);
+         },
+         {{"t/a", "0"}, {"t/b", "0"}},
+         {{"t/a", "0"}, {"t/b", "0"}}},
+    };
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        fixture f;
+        f.runFor(130ms);
+        testCase.restore(f);
+        CHECK(f.listener.values == testCase.expectedAtOnce);
+        CHECK(f.mirror.progress().restores == 1);
+        CHECK(f.store.lists.empty());
+        REQUIRE_FALSE(f.store.watches.empty());
+        f.runFor(200ms);
+        CHECK(f.listener.values == testCase.expectedLater);
+    }
+}
+
+TEST_CASE("a store that lacks what it has just listed is not called in a tight loop")
+{
+    fixture f;
+    std::size_t listings = 0;
+    const time_point end = f.time.now() + 200ms;
+    while (f.time.now() < end) {
+        if (!f.store.watches.empty())
+            f.store.answerWatch(store_failure::HistoryCompacted, {}, 0);
+        if (!f.store.lists.empty()) {
+            f.store.answerList({item("t/a", "1", 5)}, 10);
+            ++listings;
+        }
+        f.runFor(1ms);
     }
+    // The retry delay of the fixture is 10 ms.
+    CHECK(listings <= 22);
 }
