A target that was removed stays removed when a restored store shows its last report again

What callers saw: requests sent to a target that was gone, or to whoever had its address now, for as long as the store held the entry again. Cause: the directory keeps the order of a removed target's last report and ignored only older ones, but a store that is restored from a copy shows just that one again. Two sources of one fact met, the removal that this host saw and the older listing, and the older one won. Change: after a removal only newer reports count. Evidence: "a target that was removed stays removed ..." and "targets that left before a restore ..." (requests got 200 from the removed target) failed before and pass now.

--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -175,8 +175,9 @@
 /**
     All targets that a host may use, by service.
 
-    Reports older than the last one of a target are ignored, even after the target was removed, so
-    that a write delivered late does not bring it back. The class does no I/O.
+    Reports older than the last one of a target are ignored, and after the target was removed that
+    one as well, so that neither a write delivered late nor a restored store brings it back. The
+    class does no I/O.
 */
 class target_directory
 {
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -208,7 +208,8 @@
 {
     const auto removed = m_removed.find(registration.instance);
     if (removed != m_removed.end()) {
-        if (registration.order < removed->second.order)
+        // A target that is back sends newer reports; a restored store shows its last one again.
+        if (registration.order <= removed->second.order)
             return false;
         m_removed.erase(removed);
     }
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -420,6 +420,38 @@
     CHECK(f.store.keyCount("hosts/") == 1);
 }
 
+TEST_CASE("targets that left before a restore of the store get no requests after it")
+{
+    struct row
+    {
+        std::string name;
+        void (*leave)(platform_fixture &);
+    };
+    const row rows[] = {
+        {"its entry was removed", [](platform_fixture &f) { f.store.erase("servers/i-0"); }},
+        {"it reported that it leaves",
+         [](platform_fixture &f) { f.registerTarget(0, "draining", 2); }},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        f.runFor(2500ms); // Removed keys take effect at once if the store has worked for this long.
+        f.store.takeCopy();
+        item.leave(f);
+        f.runFor(activationTimeLimit);
+        f.store.restoreCopy();
+        const std::size_t before = f.targets[0]->arrivalCount();
+        // The other target of the service refuses, so that each request looks for another one.
+        f.setFault({1}, target_fault::Shed);
+        const time_point end = f.time.now() + 4s;
+        for (int i = 0; f.time.now() < end; ++i) {
+            CHECK(f.get("/one/x", callerPort, "GET", fmt::format("later-{}", i)).status == 503);
+            f.runFor(50ms);
+        }
+        CHECK(f.targets[0]->arrivalCount() == before);
+    }
+}
+
 TEST_CASE("a caller that disconnects cancels its attempts at the targets")
 {
     platform_fixture f;
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -90,6 +90,17 @@
     }
 }
 
+TEST_CASE("a target that was removed stays removed when its last report is read again")
+{
+    fixture f;
+    f.directory.update(makeRegistration("a", riga, {5, 7}));
+    f.directory.remove(instance_id("a"));
+    CHECK_FALSE(f.directory.update(makeRegistration("a", riga, {5, 7})));
+    CHECK(f.chooseTarget() == "none");
+    CHECK(f.directory.update(makeRegistration("a", riga, {5, 8})));
+    CHECK(f.chooseTarget() == "a");
+}
+
 TEST_CASE("a target that is leaving or evacuated or tried or removed gets no request")
 {
     struct row
