A host whose member key was removed while its lease lives writes it again

What was seen: a key of ours that the store removes without ending the lease never came back, as the renewals went on succeeding; the other hosts then counted one host too few and divided the shared limits among fewer.

--- a/include/mustardcourse/store/lease_membership.h
+++ b/include/mustardcourse/store/lease_membership.h
@@ -66,11 +66,16 @@
     {
         if (!m_lease || m_lease->era == era)
             return;
-        m_log.warning("membership-lapsed", {{"key", m_settings.key}, {"era", era.value()}});
-        m_lease.reset();
         constexpr std::int64_t steps = 1024;
         const auto step = static_cast<std::int64_t>(stableHash(m_settings.key) % steps);
-        schedule(m_settings.initialRetryDelay * step / steps);
+        joinAgain(m_settings.initialRetryDelay * step / steps);
+    }
+
+    /** Joins again, as the key was removed although its lease may live. */
+    void onKeyRemoved()
+    {
+        if (m_lease)
+            joinAgain(duration::zero());
     }
 
     /** Revokes the lease, so that others take over this host's shares of the limits at once. */
@@ -83,6 +88,16 @@
     }
 
 private:
+    /** Gives up the lease and requests another one after a delay. */
+    void joinAgain(duration delay)
+    {
+        if (m_isLeaving)
+            return;
+        m_log.warning("membership-lapsed", {{"key", m_settings.key}});
+        m_lease.reset();
+        schedule(delay);
+    }
+
     void renew()
     {
         if (m_isLeaving)
@@ -121,11 +136,8 @@
     {
         if (!m_lease)
             return;
-        if (failure == store_failure::NotFound) {
-            m_log.warning("membership-lapsed", {{"key", m_settings.key}});
-            m_lease.reset();
-            return schedule(duration::zero());
-        }
+        if (failure == store_failure::NotFound)
+            return joinAgain(duration::zero());
         if (failure != store_failure::None)
             return scheduleRetry(failure);
         m_nextRetryDelay = m_settings.initialRetryDelay;
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -452,6 +452,15 @@
     }
 }
 
+TEST_CASE("a member key that is removed although its lease lives is written again")
+{
+    platform_fixture f;
+    f.runUntil([&] { return f.store.keyCount("hosts/") == 1; });
+    f.runFor(2500ms);
+    f.store.erase("hosts/host-1");
+    f.runUntil([&] { return f.store.keyCount("hosts/") == 1; }, activationTimeLimit);
+}
+
 TEST_CASE("a caller that disconnects cancels its attempts at the targets")
 {
     platform_fixture f;
