Send nothing new to targets that report leaving, or that have requested a pause

Until now a host learned of leaving from the store alone, in an outage not at all, and sent on to a target that asked for a pause.

Change: both are decoded in platform/ into fields of target_answer and recorded at the target; target_directory::isUsable is the one gate that first attempts, retries, hedges and shards pass. Leaving holds until the target starts again, whatever the store or a later answer says. After a pause each host returns at a time of its own. Where too few shards are left the request is refused at once, with the end of the pauses as its Retry-After. Pauses that are negative, dates or not numbers are ignored, those over five minutes cut, both with a log line. An answer of another instance at the address reports nothing of the target. The header isn't forwarded.

Not done: counts at a target over 20 processes, whether telling other hosts helps.

--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -149,6 +149,7 @@
                                             std::size_t maximumConnections);
     void giveUpWaiting(active_query &query);
     void onExchangeEnd(std::uint64_t number, http::exchange_result &&result);
+    void recordReports(const instance_id &instance, const target_answer &answer);
     void recordObservation(const attempt &finishedAttempt, target_observation observation);
     void handleAttemptOutcome(const attempt &finishedAttempt, attempt_outcome outcome,
                               std::optional<target_answer> answer);
@@ -162,6 +163,9 @@
     void finish(active_query &query, scatter_decision decision);
     http::reply makeAnswer(active_query &query) const;
     http::reply makeFailure(active_query &query, request_failure &reason) const;
+    /** Returns when a caller whose request was not run should come back: at once, or after the
+       pauses that targets of its shards have requested. */
+    [[nodiscard]] duration retryAfter(const active_query &query) const;
     [[nodiscard]] duration answerMargin() const;
     [[nodiscard]] duration capacityLatencyLimit(const route &matchedRoute) const;
     void logMissingCapacity(const active_query &query) const;
--- a/include/mustardcourse/serving/query_service_answers.h
+++ b/include/mustardcourse/serving/query_service_answers.h
@@ -80,7 +80,20 @@
         reason = request_failure::TargetsFailed;
     if (query.lastFailure && reason != request_failure::NotRun)
         return m_format.formatAnswer(std::move(query.lastFailure->response));
-    return m_format.formatFailure(reason, m_settings.retryAfter);
+    return m_format.formatFailure(reason, retryAfter(query));
+}
+
+template <request_format Format>
+duration query_service<Format>::retryAfter(const active_query &query) const
+{
+    duration longest = m_settings.retryAfter;
+    for (const query_shard &shard : query.shards) {
+        if (shard.missingReason != missing_shard_reason::NoTarget)
+            continue;
+        if (const auto pauseEnd = m_environment.directory.earliestPauseEnd(shard.service))
+            longest = std::max(longest, *pauseEnd - m_environment.time.now());
+    }
+    return longest;
 }
 
 template <request_format Format>
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -85,9 +85,7 @@
         outcome = isCompletenessUnknown && answer->outcome == attempt_outcome::Answered
             ? attempt_outcome::Lost
             : answer->outcome;
-        target *registeredTarget = m_environment.directory.find(finishedAttempt.instance);
-        if (registeredTarget != nullptr && answer->load)
-            registeredTarget->recordLoad(*answer->load, m_environment.time.now());
+        recordReports(finishedAttempt.instance, *answer);
     }
     m_environment.metrics.countAttempt(std::string(query_details::nameOf(outcome)));
     switch (outcome) {
@@ -118,6 +116,33 @@
     admitPending();
 }
 
+template <request_format Format>
+void query_service<Format>::recordReports(const instance_id &instance, const target_answer &answer)
+{
+    target *reporter = m_environment.directory.find(instance);
+    if (reporter == nullptr || answer.isFromOtherInstance)
+        return;
+    const time_point now = m_environment.time.now();
+    if (answer.load)
+        reporter->recordLoad(*answer.load, now);
+    if (answer.isTargetLeaving && !reporter->isLeaving()) {
+        m_environment.log.info("target-leaving", {{"target", instance.value()}});
+        reporter->recordLeaving();
+    }
+    if (!answer.invalidPause.empty())
+        m_environment.log.writeRateLimited(
+            "target-pause-invalid",
+            {{"target", instance.value()}, {"requested", answer.invalidPause}});
+    if (!answer.requestedPause)
+        return;
+    m_environment.metrics.targetPauses.Increment();
+    reporter->recordPause(*answer.requestedPause, now);
+    m_environment.log.writeRateLimited(
+        "target-paused",
+        {{"target", instance.value()},
+         {"ms", query_details::wholeMilliseconds(*answer.requestedPause).count()}});
+}
+
 template <request_format Format>
 void query_service<Format>::recordObservation(const attempt &finishedAttempt,
                                               target_observation observation)
--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -35,6 +35,12 @@
     /** Signature of the target, which proves the origin of the answer; forwarded to the caller. */
     std::string signature;
     std::optional<reported_load> load;
+    /** Whether the target reports that it leaves. */
+    bool isTargetLeaving = false;
+    /** How long the target wants no further request from this host. */
+    std::optional<duration> requestedPause;
+    /** The text of a requested pause that is invalid or too long; empty if there is none. */
+    std::string invalidPause;
     http::response response;
 };
 
--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -37,6 +37,7 @@
     prometheus::Counter &retries;
     prometheus::Counter &budgetDenials;
     prometheus::Counter &connectionsOpened;
+    prometheus::Counter &targetPauses;
     prometheus::Counter &storeCalls;
     prometheus::Counter &storeFailures;
     prometheus::Counter &storeListings;
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -92,11 +92,26 @@
 
     void recordLoad(const reported_load &load, time_point now);
 
+    /** Records that it has reported to this host that it leaves. That holds until it starts again,
+        whatever the store and later answers say. */
+    void recordLeaving() noexcept { m_hasReportedLeaving = true; }
+
+    /** Records that it wants no request from this host for a time. This host returns a little
+        later than that, at a time of its own, so that not all hosts return at once. */
+    void recordPause(duration pause, time_point now);
+
     /** Returns the time until which the target is avoided after failures. */
     [[nodiscard]] time_point avoidedUntil() const noexcept { return m_avoidedUntil; }
     /** Returns whether another instance has recently answered at its address. */
     [[nodiscard]] bool isReplaced(time_point now) const noexcept { return now < m_replacedUntil; }
     [[nodiscard]] bool isCold(time_point now) const noexcept { return now < m_coldUntil; }
+    /** Returns whether it leaves, according to the store or to itself. */
+    [[nodiscard]] bool isLeaving() const noexcept
+    {
+        return m_registration.isLeaving || m_hasReportedLeaving;
+    }
+    /** Returns the end of the pause that it has requested. */
+    [[nodiscard]] time_point pausedUntil() const noexcept { return m_pausedUntil; }
     [[nodiscard]] std::size_t inFlight() const noexcept { return m_sendTimes.size(); }
     /** Returns the ratio of its latency to the baseline of recordOutcome(). It returns to 1 over
         time. */
@@ -140,6 +155,8 @@
     time_point m_coldUntil;
     time_point m_avoidedUntil;
     time_point m_replacedUntil;
+    time_point m_pausedUntil;
+    bool m_hasReportedLeaving = false;
     std::vector<time_point> m_sendTimes;
     std::size_t m_consecutiveFailures = 0;
     double m_failureShare = 0;
@@ -198,6 +215,10 @@
     /** Removes the targets that a complete listing does not contain. @returns the removed ones */
     std::vector<instance_id> retainOnly(const std::set<instance_id> &listed);
 
+    /** Returns the earliest end of a pause among the targets of a service that are usable but for
+        their pause, or nothing if there are none. */
+    [[nodiscard]] std::optional<time_point> earliestPauseEnd(const service_id &service) const;
+
     /** Sets the data centres whose targets get no requests. */
     void setEvacuated(std::set<data_centre_id> dataCentres);
     [[nodiscard]] const std::set<data_centre_id> &evacuated() const noexcept { return m_evacuated; }
@@ -221,6 +242,7 @@
 
 private:
     [[nodiscard]] bool isUsable(const target &candidate, time_point now) const;
+    [[nodiscard]] bool isUsableAfterPause(const target &candidate, time_point now) const;
     [[nodiscard]] duration costOf(const target &candidate, duration typicalLatency,
                                   time_point now) const;
 
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -44,6 +44,8 @@
                             "Additional attempts that the retry budget did not allow"))
     , connectionsOpened(
           counter(m_registry, "mustardcourse_dials_total", "New connections to targets"))
+    , targetPauses(counter(m_registry, "mustardcourse_target_pauses_total",
+                           "Refusals with which targets requested a pause"))
     , storeCalls(counter(m_registry, "mustardcourse_store_calls_total", "Calls to the store"))
     , storeFailures(counter(m_registry, "mustardcourse_store_failures_total",
                             "Calls to the store that were refused or not answered"))
--- a/modules/serving/status_report.cpp
+++ b/modules/serving/status_report.cpp
@@ -30,8 +30,10 @@
 std::string avoidanceReasonOf(const target &describedTarget, const target_directory &directory,
                               time_point now)
 {
-    if (describedTarget.registration().isLeaving)
+    if (describedTarget.isLeaving())
         return "leaving";
+    if (describedTarget.pausedUntil() > now)
+        return "paused";
     if (directory.evacuated().contains(describedTarget.registration().dataCentre))
         return "evacuated";
     if (describedTarget.avoidedUntil() > now)
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -35,6 +35,9 @@
 /** Time for which a target gets no requests after another instance answered at its address. Reports
    that arrive later do not end it, as they may still be of the target that is gone. */
 constexpr std::chrono::seconds replacedTime{3};
+/** Share of a requested pause over which the returns of the hosts are spread, and its maximum. */
+constexpr double returnSpread = 0.2;
+constexpr milliseconds maximumReturnSpread{500};
 /** Cost of a target that always fails, as a multiple of the typical latency. */
 constexpr double failurePenalty = 10;
 /** Multiple of a target's usual latency after which its oldest request counts as stalled. */
@@ -49,6 +52,7 @@
     , m_coldUntil(now + m_registration.remainingColdTime)
     , m_avoidedUntil(now)
     , m_replacedUntil(now)
+    , m_pausedUntil(now)
     , m_slownessUpdatedAt(now)
     , m_loadReportedAt(now - maximumLoadLifetime)
     , m_lastSentAt(now - probeInterval)
@@ -139,6 +143,13 @@
     m_loadReportedAt = now;
 }
 
+void target::recordPause(duration pause, time_point now)
+{
+    const double phase = static_cast<double>(m_phase) / std::numeric_limits<std::uint32_t>::max();
+    const duration spread = std::min<duration>(scaled(pause, returnSpread), maximumReturnSpread);
+    m_pausedUntil = std::max(m_pausedUntil, now + pause + scaled(spread, phase));
+}
+
 double target::slowness(time_point now) const
 {
     const std::chrono::duration<double> age = now - m_slownessUpdatedAt;
@@ -276,9 +287,26 @@
 
 bool target_directory::isUsable(const target &candidate, time_point now) const
 {
-    const target_registration &registration = candidate.registration();
-    return !registration.isLeaving && !candidate.isReplaced(now)
-        && !m_evacuated.contains(registration.dataCentre);
+    return now >= candidate.pausedUntil() && isUsableAfterPause(candidate, now);
+}
+
+bool target_directory::isUsableAfterPause(const target &candidate, time_point now) const
+{
+    return !candidate.isLeaving() && !candidate.isReplaced(now)
+        && !m_evacuated.contains(candidate.registration().dataCentre);
+}
+
+std::optional<time_point> target_directory::earliestPauseEnd(const service_id &service) const
+{
+    const time_point now = m_clock.now();
+    std::optional<time_point> earliest;
+    for (const target *candidate : targetsOf(service)) {
+        const bool isPaused = now < candidate->pausedUntil();
+        if (isPaused && isUsableAfterPause(*candidate, now))
+            earliest =
+                std::min(earliest.value_or(candidate->pausedUntil()), candidate->pausedUntil());
+    }
+    return earliest;
 }
 
 duration target_directory::costOf(const target &candidate, duration typicalLatency,
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -66,6 +66,11 @@
         return std::string(http::findHeader(m_request.headers, name).value_or(""));
     }
 
+    [[nodiscard]] std::string leavingHeader() const
+    {
+        return m_owner.m_isLeaving ? "Server-Leaving: 1\r\n" : "";
+    }
+
     /** Returns false if this connection was deleted. */
     bool startRequest(http::request &&request)
     {
@@ -84,9 +89,14 @@
         }
         const bool isFull =
             m_owner.m_runningCount >= m_owner.m_settings.slots + m_owner.m_settings.queue;
-        if (m_owner.m_fault == target_fault::Shed || isFull) {
-            m_stream->write(formatResponse(503, header("X-Attempt-Id"), "",
-                                           "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
+        const bool isPauseRequested = !m_owner.m_requestedPause.empty();
+        if (m_owner.m_fault == target_fault::Shed || isFull || isPauseRequested) {
+            const std::string pause = isPauseRequested
+                ? fmt::format("Retry-After: {}\r\n", m_owner.m_requestedPause)
+                : std::string();
+            m_stream->write(formatResponse(
+                503, header("X-Attempt-Id"), "",
+                leavingHeader() + pause + "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
             return true;
         }
         m_isRunning = true;
@@ -110,20 +120,23 @@
         case target_fault::None:
         case target_fault::Shed:
         case target_fault::ConnectionClosed:
-            return m_stream->write(formatResponse(200, id, serverStamp, contentLength(body), body));
-        case target_fault::ServerError:
             return m_stream->write(
-                formatResponse(500, id, serverStamp, contentLength(firstHalf), firstHalf));
+                formatResponse(200, id, serverStamp, leavingHeader() + contentLength(body), body));
+        case target_fault::ServerError:
+            return m_stream->write(formatResponse(
+                500, id, serverStamp, leavingHeader() + contentLength(firstHalf), firstHalf));
         case target_fault::TruncatedBody:
-            m_stream->write(formatResponse(200, id, serverStamp, contentLength(body), firstHalf));
+            m_stream->write(formatResponse(200, id, serverStamp,
+                                           leavingHeader() + contentLength(body), firstHalf));
             delete this;
             return;
         case target_fault::NoResponse:
             return;
         case target_fault::ExtraResponse:
             return m_stream->write(
-                formatResponse(200, id, serverStamp, contentLength(body), body)
-                + formatResponse(200, id, serverStamp, contentLength(firstHalf), firstHalf));
+                formatResponse(200, id, serverStamp, leavingHeader() + contentLength(body), body)
+                + formatResponse(200, id, serverStamp, leavingHeader() + contentLength(firstHalf),
+                                 firstHalf));
         case target_fault::UnframedTruncatedBody:
             m_stream->write(
                 formatResponse(200, id, serverStamp, "Connection: close\r\n", firstHalf));
@@ -131,7 +144,8 @@
         case target_fault::MismatchedId:
             return m_stream->write(
                 formatResponse(200, "another", "another.stamp", contentLength(firstHalf), firstHalf)
-                + formatResponse(200, id, serverStamp, contentLength(body), body));
+                + formatResponse(200, id, serverStamp, leavingHeader() + contentLength(body),
+                                 body));
         case target_fault::MalformedResponse:
             return m_stream->write("these bytes are no answer\r\n\r\n");
         }
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -62,6 +62,12 @@
     platform_target &operator=(const platform_target &) = delete;
 
     void setFault(target_fault fault) { m_fault = fault; }
+    /** Sets whether every response states that the target leaves; it continues to serve. */
+    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+
+    /** Sets the value of Retry-After with which every request is refused; empty for none. */
+    void setRequestedPause(std::string retryAfter) { m_requestedPause = std::move(retryAfter); }
+
     void setWorkTime(std::chrono::milliseconds workTime) { m_settings.workTime = workTime; }
 
     /** Returns the registration document of this target, as it is written to the store. */
@@ -91,6 +97,8 @@
     endpoint m_address;
     platform_target_settings m_settings;
     target_fault m_fault = target_fault::None;
+    bool m_isLeaving = false;
+    std::string m_requestedPause;
     std::set<connection *> m_connections;
     std::map<std::string, std::size_t> m_runCountsById;
     std::size_t m_runCount = 0;
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -189,6 +189,40 @@
     }
 }
 
+TEST_CASE("a target's refusal requests a pause of bounded length")
+{
+    struct row
+    {
+        std::string name;
+        int status;
+        std::string retryAfter;
+        std::optional<duration> pause;
+        bool isInvalid;
+    };
+    const row rows[] = {
+        {"whole seconds", 503, "2", std::chrono::seconds(2), false},
+        {"a fraction", 503, "0.25", std::chrono::milliseconds(250), false},
+        {"none", 503, "0", duration::zero(), false},
+        {"another status", 429, "2", std::nullopt, false},
+        {"a negative number", 503, "-1", std::nullopt, true},
+        {"a date", 503, "Fri, 04 Dec 2026 08:00:00 GMT", std::nullopt, true},
+        {"not a number", 503, "nan", std::nullopt, true},
+        {"infinite", 503, "inf", std::nullopt, true},
+        {"huge", 503, "1e18", std::chrono::minutes(5), true},
+        {"too large for a number", 503, "1e999", std::nullopt, true},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        http::response response;
+        response.status = item.status;
+        response.headers = {{"X-Not-Executed", "1"}, {"Retry-After", item.retryAfter}};
+        const target_answer answer = wire_format().readAnswer(std::move(response));
+        CHECK((answer.requestedPause == item.pause));
+        CHECK(answer.invalidPause.empty() != item.isInvalid);
+        CHECK_FALSE(answer.isTargetLeaving);
+    }
+}
+
 TEST_CASE("a merged answer lists the stamps of its answers and the number of missing shards")
 {
     const wire_format format;
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -452,6 +452,73 @@
     }
 }
 
+TEST_CASE("a target whose answers say that it leaves gets no new request")
+{
+    struct row
+    {
+        std::string name;
+        target_fault fault;
+        bool isStoreServing;
+    };
+    const row rows[] = {
+        {"in a success", target_fault::None, true},
+        {"in a refusal", target_fault::Shed, true},
+        {"in a failure", target_fault::ServerError, true},
+        {"while the store is unavailable", target_fault::None, false},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        if (!item.isStoreServing)
+            f.store.setMode(standins::store_mode::Unavailable);
+        f.setFault({0}, item.fault);
+        f.targets[0]->setLeaving(true);
+        // Without the header the host sends to this target again at once.
+        for (int i = 0; f.targets[0]->arrivalCount() == 0 && i < 100; ++i)
+            f.get("/one/x", callerPort, "GET", fmt::format("first-{}", i));
+        f.targets[0]->setLeaving(false);
+        f.setFault({0}, target_fault::None);
+        f.setFault({1}, target_fault::Shed);
+        const std::size_t before = f.targets[0]->arrivalCount();
+        CHECK(before == 1);
+        for (int i = 0; i < 20; ++i) {
+            CHECK(f.get("/one/x", callerPort, "GET", fmt::format("later-{}", i)).status == 503);
+            f.runFor(20ms);
+        }
+        CHECK(f.targets[0]->arrivalCount() == before);
+    }
+}
+
+TEST_CASE("targets that request a pause get no request before its end and callers learn when")
+{
+    platform_fixture f;
+    constexpr duration pause = 1500ms;
+    for (const std::size_t index : {0, 1})
+        f.targets[index]->setRequestedPause("1.5");
+    const time_point start = f.time.now();
+    CHECK(f.get("/one/x").status == 503);
+    for (const std::size_t index : {0, 1})
+        f.targets[index]->setRequestedPause("");
+    const auto arrivals = [&] {
+        return f.targets[0]->arrivalCount() + f.targets[1]->arrivalCount();
+    };
+    CHECK(arrivals() == 2);
+    while (f.time.now() - start < pause - 100ms) {
+        const time_point sentAt = f.time.now();
+        const http::response answer = f.get("/one/x", callerPort, "GET", "during");
+        CHECK(answer.status == 503);
+        CHECK(f.time.now() - sentAt < 75ms);
+        const double remaining = std::chrono::duration<double>(start + pause - sentAt).count();
+        CHECK(std::stod(headerOf(answer, "Retry-After")) >= remaining - 0.02);
+        CHECK(std::stod(headerOf(answer, "Retry-After")) <= remaining + 0.5);
+        f.runFor(30ms);
+    }
+    CHECK(arrivals() == 2);
+    CHECK(f.get("/all/x", callerPort, "GET", "partial").status == 200);
+    f.runFor(700ms);
+    CHECK(f.get("/one/x", callerPort, "GET", "after").status == 200);
+}
+
 TEST_CASE("a member key that is removed although its lease lives is written again")
 {
     platform_fixture f;
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -101,6 +101,66 @@
     CHECK(f.chooseTarget() == "a");
 }
 
+TEST_CASE("a target that reports that it leaves gets no request until it starts again")
+{
+    struct row
+    {
+        std::string name;
+        std::optional<report_order> laterReport;
+        std::string expected;
+    };
+    const row rows[] = {
+        {"no later report", std::nullopt, "none"},
+        {"the store says later that it is ready", report_order{5, 9}, "none"},
+        {"it starts again under its id", report_order{6, 1}, "a"},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        f.directory.update(makeRegistration("a", riga, {5, 7}));
+        f.directory.find(instance_id("a"))->recordLeaving();
+        CHECK(f.chooseTarget() == "none");
+        if (item.laterReport)
+            f.directory.update(makeRegistration("a", riga, *item.laterReport));
+        f.runRequest("a", target_observation::Success, 1ms);
+        CHECK(f.chooseTarget() == item.expected);
+    }
+}
+
+TEST_CASE(
+    "a target that requests a pause gets no request before its end and the hosts return apart")
+{
+    constexpr duration pause = 2s;
+    std::set<time_point> returns;
+    for (int host = 0; host < 20; ++host) {
+        CAPTURE(host);
+        manual_clock time;
+        target_directory directory(time, {riga, 8ms, host_id("host-" + std::to_string(host))});
+        directory.update(makeRegistration("a"));
+        target *paused = directory.find(instance_id("a"));
+        paused->recordPause(pause, time.now());
+        // A shorter pause in a response that arrives late does not end this one.
+        paused->recordPause(10ms, time.now());
+        const auto end = directory.earliestPauseEnd(bids);
+        REQUIRE(end);
+        CHECK(*end - time.now() >= pause);
+        CHECK(*end - time.now() <= pause + 500ms);
+        returns.insert(*end);
+        const auto isChosen = [&] {
+            return directory.choose({bids, typicalLatency, {}}, [](const target &) {
+                return std::optional(0ms);
+            }) != nullptr;
+        };
+        CHECK_FALSE(isChosen());
+        time.advance(pause - 1ms);
+        CHECK_FALSE(isChosen());
+        time.advance(501ms);
+        CHECK(isChosen());
+        CHECK_FALSE(directory.earliestPauseEnd(bids));
+    }
+    CHECK(returns.size() >= 15);
+}
+
 TEST_CASE("a target that is leaving or evacuated or tried or removed gets no request")
 {
     struct row
