A configuration whose version was assigned again with other content becomes active

What a caller would see: requests handled by a configuration that no operator has any more, if the store took a version, a host followed it, and a restore lost it before the operators learned of it, so that they assign its version to another document.

--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -300,6 +300,20 @@
     CHECK(f.get("/none/y").status == 404);
 }
 
+TEST_CASE("a configuration whose version was assigned again with other content becomes active")
+{
+    platform_fixture f;
+    // The host follows a write that a restore loses, so that its version may be assigned again.
+    f.store.takeCopy();
+    f.writeConfiguration(5, "s1");
+    f.runFor(activationTimeLimit);
+    f.store.restoreCopy();
+    f.writeConfiguration(5, "s2");
+    f.runFor(activationTimeLimit);
+    CHECK(f.get("/one/x").status == 200);
+    CHECK(f.targets[0]->runCount() + f.targets[1]->runCount() == 0);
+}
+
 TEST_CASE("a host keeps serving while the store is unavailable and follows it again afterwards")
 {
     for (const standins::store_mode mode :
