--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -75,8 +76,36 @@
 
     [[nodiscard]] standins::platform_store &store() noexcept { return m_store; }
 
-    /** Carries out a command of a test. @returns false if it is unknown */
-    bool execute(std::string_view command)
+    /** Carries out a command of a test. @returns its result, or nothing if it is unknown */
+    std::optional<std::string> execute(std::string_view command)
+    {
+        const std::vector<std::string> words =
+            absl::StrSplit(std::string(command), '/', absl::SkipEmpty());
+        const bool isForTarget = words.size() >= 3 && words[0] == "target";
+        if (isForTarget)
+            return executeAtTarget(words);
+        return executeAtStore(command) ? std::optional(std::string()) : std::nullopt;
+    }
+
+private:
+    /** Carries out "target/INDEX/arrivals", "target/INDEX/leaving" or
+        "target/INDEX/pause[/RETRY-AFTER]"; without a value the pause ends. */
+    std::optional<std::string> executeAtTarget(const std::vector<std::string> &words)
+    {
+        const auto index = parseNumber(words[1]);
+        if (index >= m_targets.size())
+            return std::nullopt;
+        standins::platform_target &target = *m_targets[index];
+        if (words[2] == "leaving")
+            target.setLeaving(true);
+        else if (words[2] == "pause")
+            target.setRequestedPause(words.size() > 3 ? words[3] : "");
+        else if (words[2] != "arrivals")
+            return std::nullopt;
+        return std::to_string(target.arrivalCount());
+    }
+
+    bool executeAtStore(std::string_view command)
     {
         using standins::store_mode;
         constexpr std::string_view configurationCommand = "/configuration/";
@@ -95,18 +124,17 @@
         else if (command == "/write-again")
             writeAgain();
         else if (command.starts_with(configurationCommand))
-            writeConfiguration(parseVersion(command.substr(configurationCommand.size())));
+            writeConfiguration(parseNumber(command.substr(configurationCommand.size())));
         else
             return false;
         return true;
     }
 
-private:
-    static std::uint64_t parseVersion(std::string_view text)
+    static std::uint64_t parseNumber(std::string_view text)
     {
-        std::uint64_t version = 0;
-        std::from_chars(text.data(), text.data() + text.size(), version);
-        return version;
+        std::uint64_t number = 0;
+        std::from_chars(text.data(), text.data() + text.size(), number);
+        return number;
     }
 
     void startTarget(net::loop &loop, const mustardcourse::clock &clock, std::uint32_t index)
@@ -175,9 +203,10 @@
         control.emplace(loop, clock, endpoint::parse(absl::GetFlag(FLAGS_control)),
                         [&](std::unique_ptr<http::caller_exchange> exchange) {
                             http::reply answer;
-                            const bool isKnown =
+                            const auto result =
                                 simulated.execute(exchange->receivedRequest().target);
-                            answer.status = isKnown ? 200 : 404;
+                            answer.status = result ? 200 : 404;
+                            answer.body = result.value_or("");
                             exchange->respond(answer);
                         });
     }
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -466,6 +466,32 @@
     }
 }
 
+TEST_CASE("shared limits are divided among all members through a restore that loses their keys")
+{
+    platform_fixture f;
+    const auto writeOtherMembers = [&] {
+        for (const char *name : {"hosts/other-1", "hosts/other-2", "hosts/other-3"})
+            f.store.put(name, "riga");
+    };
+    const auto countedMembers = [&] {
+        const std::string state = f.get("/status", callerPort + 2).body;
+        return nlohmann::json::parse(state).at("members").at("counted").get<int>();
+    };
+    writeOtherMembers();
+    // A host assumes more members than that until it has run for some seconds.
+    f.runUntil([&] { return countedMembers() == 4; }, 10s);
+    f.store.restoreCopy();
+    f.writeConfiguration(2);
+    const time_point restoredAt = f.time.now();
+    while (f.time.now() - restoredAt < 5s) {
+        CHECK(countedMembers() == 4);
+        f.runFor(50ms);
+        const bool hasRejoinTimePassed = f.time.now() - restoredAt > 2s;
+        if (hasRejoinTimePassed && f.store.keyCount("hosts/other") == 0)
+            writeOtherMembers();
+    }
+}
+
 TEST_CASE("a target whose answers say that it leaves gets no new request")
 {
     struct row
