A relay's log drops its changes when the store's revision decreases without another era

The mirror takes a lower revision in one era for a restore; the log of the relay did not, so that followers of a store that reports no era could get changes of the lost history. Found when the change was read once more; the named test failed before (the log answered with the old change) and passes.

--- a/include/mustardcourse/store/store_position.h
+++ b/include/mustardcourse/store/store_position.h
@@ -2,7 +2,6 @@
 
 #include <mustardcourse/core/ids.h>
 
-#include <compare>
 #include <cstdint>
 
 namespace mustardcourse::store {
--- a/modules/store/change_log.cpp
+++ b/modules/store/change_log.cpp
@@ -30,7 +30,10 @@
         !m_isUninitialised && since.isSameEra(m_current) && !m_current.isBefore(since);
     if (!isContiguous)
         restartAt(since);
-    if (!changes.current.isSameEra(m_current))
+    // The store's revision decreases only if it was restored.
+    const bool isOfOtherHistory =
+        !changes.current.isSameEra(m_current) || changes.current.isBefore(m_current);
+    if (isOfOtherHistory)
         return restartAt(changes.current);
     for (const store_item &item : changes.items) {
         if (!m_current.isBefore(item.modified))
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -169,6 +169,17 @@
     }
 }
 
+TEST_CASE("the change log drops its changes if the store's revision decreases without another era")
+{
+    change_log log;
+    log.append(at(10), batch({item("old", 31)}, 31));
+    // The store was restored at revision 12, and this host has listed it.
+    log.append(at(12), batch({item("new", 13)}, 13));
+    CHECK_FALSE(log.changesSince(at(12)));
+    log.append(at(13), batch({item("newer", 14)}, 14));
+    CHECK(keysOf(log.changesSince(at(13))) == std::vector<std::string>{"newer"});
+}
+
 TEST_CASE("a reader of the bounded change log misses no change")
 {
     CHECK_PROPERTY("log", [](const std::vector<std::uint8_t> &sizes) {
