--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -76,6 +76,11 @@
 
     /** Returns the number of times that the request with this id was run. */
     [[nodiscard]] std::size_t runCountOf(const std::string &id) const;
+    /** Returns how often each request was run, by its id. */
+    [[nodiscard]] const std::map<std::string, std::size_t> &runCountsById() const noexcept
+    {
+        return m_runCountsById;
+    }
     [[nodiscard]] std::size_t runCount() const noexcept { return m_runCount; }
     [[nodiscard]] std::size_t arrivalCount() const noexcept { return m_arrivalCount; }
     [[nodiscard]] std::size_t connectionCount() const noexcept { return m_connections.size(); }
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -81,6 +81,8 @@
     {
         const std::vector<std::string> words =
             absl::StrSplit(std::string(command), '/', absl::SkipEmpty());
+        if (command == "/most-runs-of-one-booking")
+            return std::to_string(mostRunsOfOneBooking());
         const bool isForTarget = words.size() >= 3 && words[0] == "target";
         if (isForTarget)
             return executeAtTarget(words);
@@ -105,6 +107,21 @@
         return std::to_string(target.arrivalCount());
     }
 
+    /** Returns the highest number of runs, over all targets, of a request whose id begins with
+        "booking-". */
+    [[nodiscard]] std::size_t mostRunsOfOneBooking() const
+    {
+        std::map<std::string, std::size_t> runs;
+        std::size_t most = 0;
+        for (const auto &target : m_targets) {
+            for (const auto &[id, count] : target->runCountsById()) {
+                if (id.starts_with("booking-"))
+                    most = std::max(most, runs[id] += count);
+            }
+        }
+        return most;
+    }
+
     bool executeAtStore(std::string_view command)
     {
         using standins::store_mode;
--- a/tests/process/store_restore_test.sh
+++ b/tests/process/store_restore_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against hosts that stay on an older configuration, or return to one, after the store was
-# restored from a copy: eight hosts, six of them in one data centre and so with a relay.
+# restored from a copy: eight hosts, six of them in one data centre and so with a relay. Bookings
+# run all the while, each at most once.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 source scripts/fleet.sh
@@ -85,6 +86,16 @@
     active_version=$version
 }
 
+# book_until_stopped: sends bookings to one host after the other and writes their statuses.
+book_until_stopped() {
+    local count=0
+    while [ ! -e "$fleet_work/stop-booking" ]; do
+        count=$((count + 1))
+        send_request "$(caller_port $((count % host_count + 1)))" POST /once/x "booking-$count" \
+            | head -n 1 | cut -d ' ' -f 2
+    done
+}
+
 start_platform_standin
 for number in $(seq 1 $host_count); do
     start_platform_host "$number" "$([ "$number" -le 6 ] && echo riga-1 || echo jelgava)"
@@ -101,6 +112,8 @@
 active_version=5
 await_route /added-5/x "$(now_ms)"
 
+book_until_stopped > "$fleet_work/bookings" &
+booker=$!
 restore restore 9
 restore_overtaken restore 12
 restore restore-without-closing-watches 17
@@ -108,4 +121,13 @@
 for number in $(seq 1 $host_count); do
     eventually lists_all_members "$number"
 done
-echo "passed"
+touch "$fleet_work/stop-booking"
+wait "$booker"
+booked=$(grep -c '^200$' "$fleet_work/bookings")
+[ "$booked" -ge 100 ] || fail "only $booked bookings were answered"
+# A host may refuse a booking that no target has run, but not fail one.
+[ "$(grep -c -v -E '^(200|503)$' "$fleet_work/bookings")" = 0 ] \
+    || fail "bookings failed: $(sort "$fleet_work/bookings" | uniq -c | tr '\n' ' ')"
+runs=$(send_request $((FLEET_PORT + 398)) POST /most-runs-of-one-booking control | tail -n 1)
+[ "$runs" = 1 ] || fail "a booking ran $runs times"
+echo "passed: $booked bookings"
