--- a/tests/era_tracker_test.cpp
+++ b/tests/era_tracker_test.cpp
@@ -8,6 +8,20 @@
 using namespace mustardcourse;
 using namespace mustardcourse::store;
 
+TEST_CASE("positions of two eras have no order")
+{
+    const store_position early(store_era(1), revision(5));
+    const store_position later(store_era(1), revision(9));
+    const store_position other(store_era(2), revision(7));
+    CHECK(early.isBefore(later));
+    CHECK_FALSE(later.isBefore(early));
+    for (const store_position &position : {early, later}) {
+        CHECK_FALSE(position.isSameEra(other));
+        CHECK_FALSE(position.isBefore(other));
+        CHECK_FALSE(other.isBefore(position));
+    }
+}
+
 TEST_CASE("which responses begin a new era of the store and which are outdated")
 {
     using observation = era_tracker::observation;
