Log and count turns of the loop, connection times and the bytes that a relay sends

The three hypotheses of the incident differ in these: bytes that wait in the link of a relay's host, a turn of the loop in which nothing is read, and the time until a connection to a target is established. The loop takes its waiting time from libuv's idle-time metric, so no further system call is made.

--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -28,6 +28,9 @@
     response answer;
     /** Whether the connection had carried an earlier exchange. */
     bool wasConnectionReused = false;
+    /** Time for which the exchange waited until a new connection was established; zero if the
+        connection was reused. */
+    duration connectionTime{0};
 };
 
 /** Identifies an exchange within its pool. */
--- a/include/mustardcourse/net/loop.h
+++ b/include/mustardcourse/net/loop.h
@@ -30,6 +30,10 @@
     /** Makes run() return after the current callback. */
     void stop();
 
+    /** Calls a handler at the end of each turn with the time since the last wait for events. Data
+        that arrived during that time has not been read yet. */
+    void onTurnEnd(std::function<void(duration)> handler);
+
     /** Calls a handler on each signal of this number until the loop is destroyed. */
     void onSignal(int number, std::function<void()> handler);
 
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -73,6 +73,9 @@
     m_attempts.erase(found);
 
     const bool wasConnectionReused = result.wasConnectionReused;
+    if (result.connectionTime > duration::zero())
+        m_environment.metrics.connectionTime.Observe(
+            std::chrono::duration<double>(result.connectionTime).count());
     attempt_outcome outcome = result.end == http::exchange_end::NotSent ? attempt_outcome::NotSent
                                                                         : attempt_outcome::Lost;
     std::optional<target_answer> answer;
--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -50,6 +50,9 @@
     prometheus::Gauge &targets;
     prometheus::Gauge &members;
     prometheus::Gauge &requestsRunning;
+    prometheus::Counter &relayBytes;
+    prometheus::Histogram &loopTurnTime;
+    prometheus::Histogram &connectionTime;
 };
 
 } // namespace mustardcourse::serving
--- a/include/mustardcourse/store/change_relay.h
+++ b/include/mustardcourse/store/change_relay.h
@@ -33,6 +33,9 @@
     void setServing(bool isServing);
     [[nodiscard]] bool isServing() const noexcept { return m_isServing; }
 
+    /** Returns the total size of the changes that have been sent to other hosts. */
+    [[nodiscard]] std::uint64_t sentBytes() const noexcept { return m_sentBytes; }
+
 private:
     struct pending_request
     {
@@ -40,13 +43,14 @@
         std::unique_ptr<http::caller_exchange> exchange;
     };
 
-    void sendChanges(pending_request &&request) const;
+    void sendChanges(pending_request &&request);
     void rejectAll(int status);
     void cancel(std::uint64_t number);
 
     change_log m_changeLog;
     std::map<std::uint64_t, pending_request> m_pendingRequests;
     std::uint64_t m_lastRequestNumber = 0;
+    std::uint64_t m_sentBytes = 0;
     bool m_isServing = false;
     bool m_isStoreUnreachable = false;
 };
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace mustardcourse::http {
 
@@ -38,6 +39,7 @@
         : m_pool(pool)
         , m_reader(message_reader::direction::Responses, pool.m_settings.responseLimits)
         , m_stream(net::stream::dial(pool.m_loop, pool.m_peer, *this, pool.m_settings.timeouts))
+        , m_dialedAt(pool.m_clock.now())
     { }
 
     void send(exchange_id exchange, exchange_request request)
@@ -53,7 +55,7 @@
     [[nodiscard]] time_point idleSince() const noexcept { return m_idleSince; }
 
 private:
-    void onConnected() override { m_isConnected = true; }
+    void onConnected() override;
     void onData(std::string_view data) override;
     void onEnd(net::stream_end_reason reason) override;
 
@@ -67,12 +69,21 @@
     std::unique_ptr<net::stream> m_stream;
     exchange_id m_exchange = 0;
     exchange_request m_request;
+    time_point m_dialedAt;
+    /** Time until the connection was established, for the first exchange only. */
+    duration m_connectionTime{0};
     time_point m_idleSince;
     bool m_isConnected = false;
     bool m_hasCarriedExchange = false;
     bool m_hasForeignResponse = false;
 };
 
+void client_pool::connection::onConnected()
+{
+    m_isConnected = true;
+    m_connectionTime = m_pool.m_clock.now() - m_dialedAt;
+}
+
 void client_pool::connection::onData(std::string_view data)
 {
     // Data on an idle connection belongs to no request.
@@ -116,7 +127,8 @@
     // connection is reused only if all of it has been sent.
     const bool isReusable =
         answer.isKeepAlive && !hasMoreData && !m_hasForeignResponse && m_stream->unsentBytes() == 0;
-    exchange_result result{exchange_end::Answered, std::move(answer), m_hasCarriedExchange};
+    exchange_result result{exchange_end::Answered, std::move(answer), m_hasCarriedExchange,
+                           std::exchange(m_connectionTime, duration::zero())};
     auto onEnd = std::move(m_request.onEnd);
     m_request = {};
     m_exchange = 0;
@@ -131,7 +143,7 @@
 void client_pool::connection::fail(exchange_end end)
 {
     auto onEnd = std::move(m_request.onEnd);
-    const exchange_result result{end, {}, m_hasCarriedExchange};
+    const exchange_result result{end, {}, m_hasCarriedExchange, m_connectionTime};
     m_pool.remove(*this);
     if (onEnd)
         onEnd(exchange_result(result));
--- a/modules/net/loop.cpp
+++ b/modules/net/loop.cpp
@@ -25,6 +25,38 @@
     uv_loop_t uv{};
     std::vector<char> buffer = std::vector<char>(readBufferSize);
     std::list<signal_registration> signals;
+    uv_prepare_t waitBegin{};
+    /** When the latest wait for events began. */
+    time_point waitBeganAt = std::chrono::steady_clock::now();
+    /** Total time of all waits until then. */
+    std::chrono::nanoseconds waitTimeBefore{0};
+    std::function<void(duration)> turnEndHandler;
+
+    /** Returns when the latest wait for events ended. */
+    [[nodiscard]] time_point waitEndedAt()
+    {
+        return waitBeganAt + (std::chrono::nanoseconds(uv_metrics_idle_time(&uv)) - waitTimeBefore);
+    }
+
+    void startWaitHandle()
+    {
+        uv_loop_configure(&uv, UV_METRICS_IDLE_TIME);
+        uv_prepare_init(&uv, &waitBegin);
+        waitBegin.data = this;
+        uv_prepare_start(&waitBegin, [](uv_prepare_t *handle) {
+            static_cast<implementation *>(handle->data)->endTurn();
+        });
+        uv_unref(reinterpret_cast<uv_handle_t *>(&waitBegin));
+    }
+
+    void endTurn()
+    {
+        const time_point now = std::chrono::steady_clock::now();
+        if (turnEndHandler)
+            turnEndHandler(now - waitEndedAt());
+        waitBeganAt = now;
+        waitTimeBefore = std::chrono::nanoseconds(uv_metrics_idle_time(&uv));
+    }
 };
 
 loop::loop()
@@ -32,12 +64,14 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     uv_loop_init(&m_implementation->uv);
+    m_implementation->startWaitHandle();
 }
 
 loop::~loop()
 {
     for (signal_registration &registration : m_implementation->signals)
         uv_close(reinterpret_cast<uv_handle_t *>(&registration.handle), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->waitBegin), nullptr);
     // Handles are closed in a loop iteration, so all users must have closed theirs before this one.
     uv_run(&m_implementation->uv, UV_RUN_NOWAIT);
     uv_loop_close(&m_implementation->uv);
@@ -53,6 +87,11 @@
     uv_stop(&m_implementation->uv);
 }
 
+void loop::onTurnEnd(std::function<void(duration)> handler)
+{
+    m_implementation->turnEndHandler = std::move(handler);
+}
+
 void loop::onSignal(int number, std::function<void()> handler)
 {
     signal_registration &registration = m_implementation->signals.emplace_back();
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -18,6 +18,13 @@
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
+prometheus::Histogram &timeHistogram(prometheus::Registry &registry, const std::string &name,
+                                     const std::string &help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
+        {}, prometheus::Histogram::BucketBoundaries{0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1});
+}
+
 } // namespace
 
 serving_metrics::serving_metrics()
@@ -65,6 +72,12 @@
     , targets(gauge(m_registry, "mustardcourse_targets", "Registered targets"))
     , members(gauge(m_registry, "mustardcourse_members", "Hosts that share the limits"))
     , requestsRunning(gauge(m_registry, "mustardcourse_requests_running", "Requests being served"))
+    , relayBytes(counter(m_registry, "mustardcourse_relay_bytes_total",
+                         "Bytes of store changes that this host has sent to other hosts"))
+    , loopTurnTime(timeHistogram(m_registry, "mustardcourse_loop_turn_seconds",
+                                 "Time between two waits for events, in which nothing is read"))
+    , connectionTime(timeHistogram(m_registry, "mustardcourse_connection_seconds",
+                                   "Time until a new connection to a target is established"))
 { }
 
 std::string serving_metrics::render() const
--- a/modules/store/change_relay.cpp
+++ b/modules/store/change_relay.cpp
@@ -71,7 +71,7 @@
     m_pendingRequests.erase(number);
 }
 
-void change_relay::sendChanges(pending_request &&request) const
+void change_relay::sendChanges(pending_request &&request)
 {
     const auto changes = m_changeLog.changesSince(request.since);
     if (!changes)
@@ -80,6 +80,7 @@
     reply.status = relay_status::changes;
     reply.headers.push_back({"Content-Type", "application/octet-stream"});
     reply.body = encodeBatch(*changes);
+    m_sentBytes += reply.body.size();
     request.exchange->respond(reply);
 }
 
