--- a/standins/lib/platform_store.h
+++ b/standins/lib/platform_store.h
@@ -72,6 +72,8 @@
     /** Sets the maximum number of keys in one page of a range. */
     void setPageSize(std::size_t maximumKeys) { m_pageSize = maximumKeys; }
 
+    [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+    [[nodiscard]] std::uint64_t era() const noexcept { return m_era; }
     [[nodiscard]] std::uint64_t callCount() const noexcept { return m_callCount; }
     [[nodiscard]] std::size_t keyCount(const std::string &prefix) const;
 
