Relays use a share of their host's link, and hosts read the rest from the store

What callers saw: targets were told up to 961 ms more than callers had left, and answers came half a second late, on hosts that relay the store's changes.

Cause: a relay answered all waiting hosts of its data centre at once. With 1,450 routes that is 15 times 190 KB on a link of 20 Mbit/s: requests to targets that were written after that, with the remaining time of that moment, waited in the link for a second. The class is a remaining time that is computed before its bytes wait in a queue; here the queue is bounded.

Evidence: only relays break the rule (four hosts that each send 2.8 MB in that second); a trial without relays breaks none; the record shows the request read 64 ms after its arrival, with parts that were written at 8.42 s and arrive at 9.34 s.

Change: a token bucket lets a relay spend a quarter of the link's rate on its responses, and 100 ms of the link at once. What exceeds it is refused with 429; the host then asks the store, whose link is fifty times as fast, and uses the relay again for the next changes. The link's rate is a new setting.

Measured: "a target is told the time that a caller has left while its host relays a configuration" failed before (1,386 ms, and 5.3 s with 40 hosts) and passes.

--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -51,6 +51,7 @@
     prometheus::Gauge &members;
     prometheus::Gauge &requestsRunning;
     prometheus::Counter &relayBytes;
+    prometheus::Counter &relayOverLimit;
     prometheus::Histogram &loopTurnTime;
     prometheus::Histogram &connectionTime;
 };
--- a/include/mustardcourse/settings/serving_settings.h
+++ b/include/mustardcourse/settings/serving_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <mustardcourse/core/data_rate.h>
 #include <mustardcourse/core/endpoint.h>
 #include <mustardcourse/core/ids.h>
 #include <mustardcourse/core/log.h>
@@ -20,6 +21,8 @@
     endpoint metricsListen;
     /** Address at which this host relays store changes to other hosts; nullopt if it does not. */
     std::optional<endpoint> relayListen;
+    /** Data rate of this host's network link. */
+    data_rate linkRate = data_rate::megabitsPerSecond(1000);
     endpoint store;
     log_level logLevel = log_level::Info;
 
--- a/include/mustardcourse/store/change_log.h
+++ b/include/mustardcourse/store/change_log.h
@@ -36,6 +36,9 @@
     std::size_t m_bytes = 0;
 };
 
+/** Returns the total size of the keys and values of a batch, in bytes. */
+std::size_t payloadSize(const store_batch &batch);
+
 /** Encodes a batch for transfer to another host. */
 std::string encodeBatch(const store_batch &batch);
 
--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -120,7 +120,10 @@
     const bool isUsable = batch.failure == store_failure::None && batch.current.isSameEra(since);
     if (isUsable)
         return handler(std::move(batch));
-    m_relayAvoidedUntil = m_clock.now() + m_settings.relayAvoidanceTime;
+    // A relay that has too much to send at once is usable for the next changes.
+    const bool isOverLimit = answer && answer->status == relay_status::overLimit;
+    if (!isOverLimit)
+        m_relayAvoidedUntil = m_clock.now() + m_settings.relayAvoidanceTime;
     m_areChangesOverdue = true;
     m_log.info("relay-failed",
                {{"status", answer ? answer->status : 0}, {"since", since.number().value()}});
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -74,6 +74,8 @@
     , requestsRunning(gauge(m_registry, "mustardcourse_requests_running", "Requests being served"))
     , relayBytes(counter(m_registry, "mustardcourse_relay_bytes_total",
                          "Bytes of store changes that this host has sent to other hosts"))
+    , relayOverLimit(counter(m_registry, "mustardcourse_relay_over_limit_total",
+                             "Responses that exceeded the relay's share of its host's link"))
     , loopTurnTime(timeHistogram(m_registry, "mustardcourse_loop_turn_seconds",
                                  "Time between two waits for events, in which nothing is read"))
     , connectionTime(timeHistogram(m_registry, "mustardcourse_connection_seconds",
--- a/modules/settings/serving_settings.cpp
+++ b/modules/settings/serving_settings.cpp
@@ -29,6 +29,18 @@
     listen.rejectUnknownKeys();
 }
 
+void readNetwork(serving_settings &settings, const ini_document &document)
+{
+    const ini_section *section = document.find("network");
+    if (section == nullptr)
+        return;
+    constexpr double defaultRate = 1000;
+    section_reader network(document, *section);
+    settings.linkRate = data_rate::megabitsPerSecond(
+        network.number("link_mbit_per_s", defaultRate, 0.01, 1'000'000));
+    network.rejectUnknownKeys();
+}
+
 void readRetries(serving_settings &settings, const ini_document &document)
 {
     const ini_section *section = document.find("retries");
@@ -66,7 +78,8 @@
 
 serving_settings serving_settings::read(const ini_document &document)
 {
-    rejectUnknownSections(document, {"host", "listen", "store", "retries", "times", "log"});
+    rejectUnknownSections(document,
+                          {"host", "listen", "network", "store", "retries", "times", "log"});
     serving_settings settings;
 
     section_reader host(document, requireSection(document, "host"));
@@ -81,6 +94,7 @@
     store.rejectUnknownKeys();
 
     settings.logLevel = readLogLevel(document);
+    readNetwork(settings, document);
     readRetries(settings, document);
     readTimes(settings, document);
     return settings;
--- a/modules/store/change_log.cpp
+++ b/modules/store/change_log.cpp
@@ -76,6 +76,14 @@
     return batch;
 }
 
+std::size_t payloadSize(const store_batch &batch)
+{
+    std::size_t size = 0;
+    for (const store_item &item : batch.items)
+        size += payloadSize(item);
+    return size;
+}
+
 std::string encodeBatch(const store_batch &batch)
 {
     capnp::MallocMessageBuilder message;
--- a/modules/store/change_relay.cpp
+++ b/modules/store/change_relay.cpp
@@ -49,6 +49,14 @@
                        since.era().value());
 }
 
+change_relay::change_relay(const clock &clock, const relay_limits &limits)
+    : m_clock(clock)
+    , m_linkBudget(limits.linkRate.bytesPerSecond() * limits.linkShare,
+                   limits.linkRate.bytesPerSecond()
+                       * std::chrono::duration<double>(limits.burstTime).count(),
+                   clock.now())
+{ }
+
 void change_relay::serve(std::unique_ptr<http::caller_exchange> exchange)
 {
     const auto since = parsePosition(exchange->receivedRequest().target);
@@ -76,6 +84,10 @@
     const auto changes = m_changeLog.changesSince(request.since);
     if (!changes)
         return request.exchange->respond(emptyReply(relay_status::changesUnavailable));
+    if (!m_linkBudget.trySpend(static_cast<double>(payloadSize(*changes)), m_clock.now())) {
+        ++m_overLimitCount;
+        return request.exchange->respond(emptyReply(relay_status::overLimit));
+    }
     http::reply reply;
     reply.status = relay_status::changes;
     reply.headers.push_back({"Content-Type", "application/octet-stream"});
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -69,7 +69,8 @@
 /** A host that watches the store through a relay, and that relay. */
 struct fixture : tests::loop_fixture
 {
-    fixture()
+    explicit fixture(const relay_limits &limits = {})
+        : relay(time, limits)
     {
         relay.setServing(true);
         relay.onWatchResult(at(10), batch({}, 10));
@@ -84,7 +85,7 @@
 
     logger log{time, "test", log_level::Error};
     change_relay relay;
-    change_relay ownRelay;
+    change_relay ownRelay{time};
     /** Whether the relay accepts requests but never responds, as a frozen process does. */
     bool isRelayUnresponsive = false;
     std::vector<std::unique_ptr<http::caller_exchange>> heldExchanges;
@@ -304,6 +305,29 @@
     CHECK(f.directStore.watches.empty());
 }
 
+TEST_CASE("a relay sends no more than its share of the link and is used again afterwards")
+{
+    constexpr std::size_t changeSize = 100'000;
+    // The burst of this link holds one such change, and its share another one every 400 ms.
+    fixture f({.linkRate = data_rate::megabitsPerSecond(8)});
+    f.relayedStore.setRelay(endpoint("127.0.0.1", relayPort));
+    const store_batch large = batch({item("a", 11, std::string(changeSize - 1, 'v'))}, 11);
+    f.relay.onWatchResult(at(10), large);
+    f.watch(10);
+    f.runUntil([&] { return f.results.size() == 1; });
+    CHECK(f.directStore.watches.empty());
+    f.watch(10);
+    f.runUntil([&] { return f.directStore.watches.size() == 1; }, 500ms);
+    CHECK(f.relay.overLimitCount() == 1);
+    f.directStore.answer(large);
+    CHECK(f.results.size() == 2);
+    f.runFor(500ms);
+    f.watch(10);
+    f.runUntil([&] { return f.results.size() == 3; }, 500ms);
+    CHECK(f.directStore.watches.empty());
+    CHECK(f.relay.sentBytes() >= 2 * changeSize);
+}
+
 TEST_CASE("a host watches the store directly when its relay fails")
 {
     struct row
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -2,6 +2,7 @@
 
 #include <mustardcourse/limits/permit_gate.h>
 #include <mustardcourse/limits/retry_budget.h>
+#include <mustardcourse/limits/token_bucket.h>
 #include <mustardcourse/limits/wait_queue.h>
 
 #include <algorithm>
@@ -23,6 +24,30 @@
 
 } // namespace
 
+TEST_CASE("a token bucket never exceeds its rate and capacity in any time window")
+{
+    CHECK_PROPERTY("windows", [](const std::vector<std::pair<std::uint8_t, std::uint8_t>> &calls) {
+        constexpr double rate = 100;
+        constexpr double capacity = 40;
+        manual_clock clock;
+        limits::token_bucket bucket(rate, capacity, clock.now());
+        std::vector<std::pair<time_point, double>> spent;
+        for (const auto &[pause, amount] : calls) {
+            clock.advance(std::chrono::milliseconds(pause));
+            if (bucket.trySpend(amount % 50, clock.now()))
+                spent.emplace_back(clock.now(), amount % 50);
+        }
+        for (std::size_t first = 0; first < spent.size(); ++first) {
+            double total = 0;
+            for (std::size_t last = first; last < spent.size(); ++last) {
+                total += spent[last].second;
+                const std::chrono::duration<double> window = spent[last].first - spent[first].first;
+                RC_ASSERT(total <= capacity + rate * window.count() + 1e-6);
+            }
+        }
+    });
+}
+
 TEST_CASE("a target warms up with successes and is reset to cold by a failure or a restart")
 {
     struct row
--- a/tests/relay_link_test.cpp
+++ b/tests/relay_link_test.cpp
@@ -27,8 +27,8 @@
 constexpr std::uint16_t targetPort = 20916;
 constexpr std::uint16_t relayLinkPort = 20917;
 constexpr std::uint16_t targetLinkPort = 20918;
-/** The link of a small host: 20 Mbit/s. */
-constexpr double linkBytesPerSecond = 2.5e6;
+/** The link of a small host. */
+constexpr double linkMegabits = 20;
 /** Time that a target may be told beyond what a caller has left. */
 constexpr duration maximumExcess = 500ms;
 /** Time after which a host stops waiting for its relay. */
@@ -48,6 +48,7 @@
     settings.readinessListen = local(callerPort + 1);
     settings.metricsListen = local(callerPort + 2);
     settings.relayListen = local(relayPort);
+    settings.linkRate = data_rate::megabitsPerSecond(linkMegabits);
     settings.store = local(storePort);
     settings.logLevel = log_level::Error;
     return settings;
@@ -172,7 +173,8 @@
     standins::platform_store store{loop, time, local(storePort)};
     standins::platform_target target{
         loop, time, local(targetPort), {.instance = "i-0", .service = "s1"}};
-    standins::limited_link link{loop, time, linkBytesPerSecond};
+    standins::limited_link link{loop, time,
+                                data_rate::megabitsPerSecond(linkMegabits).bytesPerSecond()};
     std::optional<platform_adapter::platform_host> host;
     std::vector<std::unique_ptr<http::client_pool>> followers;
 };
@@ -204,6 +206,7 @@
         // Hosts that wait longer than this query the store only after the relay's time-out.
         CHECK(f.time.now() - begin <= relayTimeout);
         for (const int status : f.followerStatuses)
-            CHECK((status == store::relay_status::changes || status == 429));
+            CHECK((status == store::relay_status::changes
+                   || status == store::relay_status::overLimit));
     }
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,4 +1,5 @@
 #include <mustardcourse/settings/host_settings.h>
+#include <mustardcourse/settings/serving_settings.h>
 #include <mustardcourse/settings/team_record.h>
 #include <mustardcourse/settings/team_settings.h>
 
@@ -20,6 +21,16 @@
                               "store = 127.0.0.1:8001\n"
                               "host_list = 127.0.0.1:8002\n";
 
+const std::string validServingHost = "[host]\n"
+                                     "id = front-1\n"
+                                     "data_centre = riga\n"
+                                     "[listen]\n"
+                                     "caller = 127.0.0.1:8101\n"
+                                     "readiness = 127.0.0.1:8102\n"
+                                     "metrics = 127.0.0.1:8103\n"
+                                     "[store]\n"
+                                     "address = 127.0.0.1:8001\n";
+
 const std::string validTeam = "[service lots]\n"
                               "shards = 2\n"
                               "slots = 2\n"
@@ -43,6 +54,11 @@
     return host_settings::read(ini_document::parse("host.ini", text));
 }
 
+serving_settings readServing(const std::string &text)
+{
+    return serving_settings::read(ini_document::parse("host.ini", text));
+}
+
 team_settings readTeam(const std::string &text)
 {
     return team_settings::read(team_id("auctions"), revision(7),
@@ -123,6 +139,31 @@
         checkRejected(testCase, readHost);
 }
 
+TEST_CASE("the link rate of a host is read and has a default")
+{
+    CHECK(readServing(validServingHost).linkRate == data_rate::megabitsPerSecond(1000));
+    CHECK(readServing(validServingHost + "[network]\nlink_mbit_per_s = 20.0\n").linkRate
+          == data_rate::megabitsPerSecond(20));
+}
+
+TEST_CASE("invalid network settings are rejected with the error position")
+{
+    const invalid_text testCases[] = {
+        {"no rate", validServingHost + "[network]\nlink_mbit_per_s = 0\n",
+         settings_fault::OutOfRange, 11, "link_mbit_per_s"},
+        {"negative", validServingHost + "[network]\nlink_mbit_per_s = -1\n",
+         settings_fault::OutOfRange, 11, "link_mbit_per_s"},
+        {"not a number", validServingHost + "[network]\nlink_mbit_per_s = fast\n",
+         settings_fault::BadValue, 11, "link_mbit_per_s"},
+        {"not finite", validServingHost + "[network]\nlink_mbit_per_s = inf\n",
+         settings_fault::OutOfRange, 11, "link_mbit_per_s"},
+        {"unknown key", validServingHost + "[network]\nrate = 20\n", settings_fault::UnknownKey, 11,
+         "rate"},
+    };
+    for (const invalid_text &testCase : testCases)
+        checkRejected(testCase, readServing);
+}
+
 TEST_CASE("a settings subtree of a team is parsed into shard maps")
 {
     const team_settings team = readTeam(validTeam + "[data_centre jelgava]\nstate = out\n");
