Requests are formatted when their connection is established

What targets saw: an attempt whose connection took long to be established told them the remaining time of its begin.

Cause: the request's bytes, with the remaining time in them, were made before the connection was dialled. Now the connection asks for the bytes when it can send them. The caller's request is shared, as an attempt may outlive it.

Measured: "a target is told the time that a caller has left after its connection was delayed" failed before (1,021 ms too much, allowed 500 ms) and passes. 71 tests of exchanges, requests and targets pass.

--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -40,6 +40,9 @@
 struct exchange_request
 {
     std::string bytes;
+    /** If set, returns the bytes to send instead. It is called when the connection is established,
+        so that times in the request are current. */
+    std::function<std::string()> format{};
     /** Returns whether a response belongs to this request; others are discarded. If it is empty,
         every response belongs. */
     std::function<bool(const response &)> matchesRequest;
--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -43,12 +43,13 @@
 {
     active_query(query_number queryNumber, caller_request request, scatter_parameters parameters)
         : number(queryNumber)
-        , callerRequest(std::move(request))
+        , callerRequest(std::make_shared<const caller_request>(std::move(request)))
         , progress(parameters)
     { }
 
     query_number number;
-    caller_request callerRequest;
+    /** Shared with attempts, which may outlive this request. */
+    std::shared_ptr<const caller_request> callerRequest;
     scatter progress;
     std::unique_ptr<http::caller_exchange> exchange;
     configuration_pointer activeConfiguration;
--- a/include/mustardcourse/serving/query_service_answers.h
+++ b/include/mustardcourse/serving/query_service_answers.h
@@ -133,7 +133,7 @@
     }
     m_environment.log.writeRateLimited(
         "request-ended",
-        {{"id", query.callerRequest.id.value()},
+        {{"id", query.callerRequest->id.value()},
          {"route", query.matchedRoute->name.value()},
          {"version", query.activeConfiguration->version().value()},
          {"outcome", outcome},
@@ -160,7 +160,7 @@
         for (const target *registeredTarget : m_environment.directory.targetsOf(shard.service)) {
             m_environment.log.writeRateLimited(
                 "target-without-room",
-                {{"id", query.callerRequest.id.value()},
+                {{"id", query.callerRequest->id.value()},
                  {"service", shard.service.value()},
                  {"target", registeredTarget->registration().instance.value()},
                  {"expected_us",
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -27,14 +27,17 @@
     target &selectedTarget = *choice.selectedTarget;
     query_shard &shard = query.shards[shardIndex];
     const time_point now = m_environment.time.now();
-    const auto remainingTime = query_details::wholeMilliseconds(query.deadline - now);
     const bool isIdempotent = query.progress.parameters().isIdempotent;
     const std::uint64_t number = ++m_lastAttemptNumber;
 
     http::exchange_request request;
-    request.bytes = m_format.formatRequest(
-        query.callerRequest, selectedTarget.registration().instance, std::max(remainingTime, 1ms));
-    request.matchesRequest = [this, id = query.callerRequest.id](const http::response &response) {
+    request.format = [this, callerRequest = query.callerRequest, deadline = query.deadline,
+                      instance = selectedTarget.registration().instance] {
+        const auto remainingTime =
+            query_details::wholeMilliseconds(deadline - m_environment.time.now());
+        return m_format.formatRequest(*callerRequest, instance, std::max(remainingTime, 1ms));
+    };
+    request.matchesRequest = [this, id = query.callerRequest->id](const http::response &response) {
         return m_format.matchesRequest(id, response);
     };
     request.onEnd = [this, number](http::exchange_result &&result) {
@@ -42,7 +45,7 @@
     };
     if (!isIdempotent)
         request.maximumIdleTime = m_settings.maximumNonIdempotentIdleTime;
-    request.isResponseBodyExpected = query.callerRequest.isResponseBodyExpected;
+    request.isResponseBodyExpected = query.callerRequest->isResponseBodyExpected;
 
     attempt &newAttempt = m_attempts[number];
     newAttempt.queryNumber = query.number;
@@ -177,7 +180,7 @@
         query.lastFailure = std::move(answer);
     if (outcome != attempt_outcome::Answered) {
         m_environment.log.writeRateLimited("attempt-ended",
-                                           {{"id", query.callerRequest.id.value()},
+                                           {{"id", query.callerRequest->id.value()},
                                             {"target", finishedAttempt.instance.value()},
                                             {"service", finishedAttempt.service.value()},
                                             {"end", query_details::nameOf(outcome)}});
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -47,7 +47,8 @@
         m_exchange = exchange;
         m_request = std::move(request);
         m_reader.expectBody(m_request.isResponseBodyExpected);
-        m_stream->write(std::move(m_request.bytes));
+        if (m_isConnected)
+            writeRequest();
     }
 
     [[nodiscard]] exchange_id exchange() const noexcept { return m_exchange; }
@@ -59,6 +60,7 @@
     void onData(std::string_view data) override;
     void onEnd(net::stream_end_reason reason) override;
 
+    void writeRequest();
     /** Processes a complete response. Returns false if the exchange continues, as the response was
         an interim one or belongs to another request. */
     bool complete(bool hasMoreData);
@@ -82,6 +84,13 @@
 {
     m_isConnected = true;
     m_connectionTime = m_pool.m_clock.now() - m_dialedAt;
+    if (!isIdle())
+        writeRequest();
+}
+
+void client_pool::connection::writeRequest()
+{
+    m_stream->write(m_request.format ? m_request.format() : std::move(m_request.bytes));
 }
 
 void client_pool::connection::onData(std::string_view data)
