Deadlines count from a request's arrival, not from the time at which it is read

What targets saw: a host whose loop was blocked, for example by a large configuration, told them the time that callers had left at the arrival plus the time of the block.

Cause: the start of a caller's deadline was taken when the loop read the request. The class is that of the relays: time in a queue that isn't counted, here the one in front of the process. Now a stream tells the earliest time at which data can have arrived: the end of the loop's wait if it has waited for it, otherwise the end of the wait before, and for the first data of a connection the time since which the connection may have waited. A request whose deadline has passed by then is refused at once and sent to no target.

Measured: "a target is told the time that a caller has left after the event loop was blocked" failed before in its five rows (798 to 823 ms too much, allowed 500 ms) and passes.

Looked through for the same class without a finding: pauses, cold times and the leases' renewals err to the safe side, as hosts count them from a later moment.

--- a/include/mustardcourse/http/caller_server.h
+++ b/include/mustardcourse/http/caller_server.h
@@ -32,6 +32,14 @@
 
 class caller_connection;
 
+/** Earliest times at which the first and the last byte of a request can have arrived, even if the
+    process was too busy to read them then. */
+struct request_times
+{
+    time_point firstByte;
+    time_point lastByte;
+};
+
 /**
     A caller's request that has been read completely, until it is answered.
 
@@ -40,16 +48,20 @@
 class caller_exchange
 {
 public:
-    caller_exchange(caller_connection &connection, request receivedRequest, time_point arrival,
-                    bool isFirstRequest);
+    caller_exchange(caller_connection &connection, request receivedRequest,
+                    const request_times &times, bool isFirstRequest);
     ~caller_exchange();
     caller_exchange(const caller_exchange &) = delete;
     caller_exchange &operator=(const caller_exchange &) = delete;
 
     [[nodiscard]] const request &receivedRequest() const noexcept { return m_request; }
 
-    /** Returns the time at which the request had been read completely. */
-    [[nodiscard]] time_point arrival() const noexcept { return m_arrival; }
+    /** Returns when the first byte of the request arrived, from which the caller's deadline counts.
+     */
+    [[nodiscard]] time_point begin() const noexcept { return m_times.firstByte; }
+
+    /** Returns when the request had arrived completely. */
+    [[nodiscard]] time_point arrival() const noexcept { return m_times.lastByte; }
 
     /** Returns whether this is the first request on its connection. */
     [[nodiscard]] bool isFirstOnConnection() const noexcept { return m_isFirstRequest; }
@@ -65,7 +77,7 @@
 
     caller_connection *m_connection;
     request m_request;
-    time_point m_arrival;
+    request_times m_times;
     bool m_isFirstRequest;
     std::function<void()> m_onDisconnect;
 };
--- a/include/mustardcourse/net/loop.h
+++ b/include/mustardcourse/net/loop.h
@@ -2,6 +2,7 @@
 
 #include <mustardcourse/core/clock.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -11,6 +12,15 @@
 
 namespace mustardcourse::net {
 
+/** Since when an event loop reports the events of a source. */
+struct watch_begin
+{
+    /** Number of the first wait for events that includes the source. */
+    std::uint64_t firstWait = 0;
+    /** Earliest time of an event that the first wait reports. */
+    time_point earliestEvent;
+};
+
 /**
     The event loop of a process in a platform deployment, based on libuv.
 
@@ -34,6 +44,18 @@
         that arrived during that time has not been read yet. */
     void onTurnEnd(std::function<void(duration)> handler);
 
+    /** Returns since when events of a source are reported that is watched from now on. */
+    [[nodiscard]] watch_begin beginWatch() const noexcept;
+
+    /**
+        Returns the earliest time at which the event of a source can have happened that the loop now
+        reports.
+
+        If the loop has waited for events, that is the end of the wait. Otherwise the event may have
+        happened at any time since the wait before, or since the source exists.
+    */
+    [[nodiscard]] time_point earliestEventTime(const watch_begin &source) const noexcept;
+
     /** Calls a handler on each signal of this number until the loop is destroyed. */
     void onSignal(int number, std::function<void()> handler);
 
--- a/include/mustardcourse/net/stream.h
+++ b/include/mustardcourse/net/stream.h
@@ -61,6 +61,10 @@
     /** Sets the handler, and starts reading if a listener accepted the connection. */
     void setHandler(stream_handler &handler) noexcept;
 
+    /** Returns the earliest time at which the data of the current stream_handler::onData() can have
+        arrived. */
+    [[nodiscard]] time_point earliestArrival() const noexcept;
+
     /** Sends data, and queues what the kernel does not accept yet. */
     void write(std::string data);
 
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -117,9 +117,10 @@
     [[nodiscard]] duration callerWaitingTime(const http::caller_exchange &exchange,
                                              duration deadline, const route &matchedRoute,
                                              const route_statistics &statistics) const;
+    /** @param deadline  when an answer has to leave to reach the caller in time */
     [[nodiscard]] scatter_parameters scatterParametersFor(time_point arrival,
                                                           duration callerWaitingTime,
-                                                          duration deadline,
+                                                          time_point deadline,
                                                           const route &matchedRoute) const;
     /** Returns whether a caller's retry is too late to meet the objective of its first try. */
     static bool isTooLateForObjective(duration timeSinceFirstTry, const route &matchedRoute);
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -158,13 +158,10 @@
 template <request_format Format>
 scatter_parameters
 query_service<Format>::scatterParametersFor(time_point arrival, duration callerWaitingTime,
-                                            duration deadline, const route &matchedRoute) const
+                                            time_point deadline, const route &matchedRoute) const
 {
-    const duration networkDelay = m_settings.callerNetworkDelay;
     const duration untilObjective =
-        matchedRoute.latencyObjective - callerWaitingTime - networkDelay;
-    const duration untilDeadline = deadline - 2 * networkDelay;
-    const duration limit = std::min<duration>(matchedRoute.timeout, untilDeadline);
+        matchedRoute.latencyObjective - callerWaitingTime - m_settings.callerNetworkDelay;
     scatter_parameters parameters;
     parameters.shardCount = matchedRoute.queriesAllShards() ? matchedRoute.shards.size() : 1;
     parameters.minimumAnswers =
@@ -172,7 +169,8 @@
     parameters.maximumTargets = std::max<std::size_t>(matchedRoute.maximumTargets, 1);
     parameters.isIdempotent = matchedRoute.isIdempotent;
     parameters.cutoff = arrival + untilObjective - answerMargin();
-    parameters.end = arrival + limit - m_settings.answerMargin;
+    parameters.end =
+        std::min<time_point>(arrival + matchedRoute.timeout, deadline) - m_settings.answerMargin;
     return parameters;
 }
 
@@ -181,14 +179,16 @@
                                   caller_request callerRequest, const route &matchedRoute)
 {
     auto statistics = statisticsOf(matchedRoute);
-    const duration deadline = callerRequest.deadline.value_or(matchedRoute.timeout);
-    statistics->recordDeadline(deadline);
+    const duration callerTime = callerRequest.deadline.value_or(matchedRoute.timeout);
+    statistics->recordDeadline(callerTime);
     const time_point arrival = exchange->arrival();
-    const duration waitingTime = callerWaitingTime(*exchange, deadline, matchedRoute, *statistics);
+    const time_point deadline = exchange->begin() + callerTime - 2 * m_settings.callerNetworkDelay;
+    const duration waitingTime =
+        callerWaitingTime(*exchange, callerTime, matchedRoute, *statistics);
     const scatter_parameters parameters =
         scatterParametersFor(arrival, waitingTime, deadline, matchedRoute);
     const bool isLateRetry =
-        isTooLateForObjective(statistics->estimatedAge(deadline), matchedRoute);
+        isTooLateForObjective(statistics->estimatedAge(callerTime), matchedRoute);
     const query_number number = ++m_lastQueryNumber;
     auto newQuery = std::make_unique<active_query>(number, std::move(callerRequest), parameters);
     active_query &query = *newQuery;
@@ -197,7 +197,7 @@
     query.matchedRoute = &matchedRoute;
     query.statistics = std::move(statistics);
     query.isLateRetry = isLateRetry;
-    query.deadline = arrival + deadline - 2 * m_settings.callerNetworkDelay;
+    query.deadline = deadline;
     const duration refusalTime =
         scaled(matchedRoute.latencyObjective, m_settings.refusalTimeFraction);
     query.refusalDeadline =
@@ -219,7 +219,9 @@
         query.hedgeWindow = query.statistics->hedgeWindow(parameters.cutoff - now);
         query.nextHedgeTime = now + query.hedgeWindow.earliest;
     }
-    admitOrQueue(query);
+    // A deadline may have passed before the request was read.
+    if (now < parameters.end)
+        admitOrQueue(query);
     finishOrSchedule(query);
 }
 
--- a/modules/http/caller_connection.h
+++ b/modules/http/caller_connection.h
@@ -39,6 +39,11 @@
     message_reader m_reader;
     net::timer m_timer;
     std::string m_unparsedData;
+    /** Earliest times at which the latest data, the first unparsed data, and the first byte of the
+        request that is being read can have arrived. */
+    time_point m_latestArrival;
+    time_point m_unparsedArrival;
+    time_point m_requestBegin;
     caller_exchange *m_exchange = nullptr;
     time_point m_idleSince;
     bool m_isFirstRequest = true;
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -13,10 +13,10 @@
 } // namespace
 
 caller_exchange::caller_exchange(caller_connection &connection, request receivedRequest,
-                                 time_point arrival, bool isFirstRequest)
+                                 const request_times &times, bool isFirstRequest)
     : m_connection(&connection)
     , m_request(std::move(receivedRequest))
-    , m_arrival(arrival)
+    , m_times(times)
     , m_isFirstRequest(isFirstRequest)
 { }
 
@@ -84,6 +84,9 @@
 {
     if (m_isFinishing)
         return;
+    m_latestArrival = m_stream->earliestArrival();
+    if (m_unparsedData.empty())
+        m_unparsedArrival = m_latestArrival;
     m_unparsedData.append(data);
     if (m_exchange != nullptr) {
         // While a caller waits for a response, it may send at most the size of one further request.
@@ -101,8 +104,10 @@
         return;
     m_isParsing = true;
     while (m_exchange == nullptr && !m_unparsedData.empty() && !m_isFinishing) {
-        if (m_reader.state() == read_state::Empty)
+        if (m_reader.state() == read_state::Empty) {
+            m_requestBegin = m_unparsedArrival;
             m_timer.start(m_server.m_limits.readTimeout);
+        }
         const std::size_t consumed = m_reader.feed(m_unparsedData);
         m_unparsedData.erase(0, consumed);
         switch (m_reader.state()) {
@@ -137,8 +142,10 @@
     request receivedRequest = m_reader.takeRequest();
     m_isKeepAlive = receivedRequest.isKeepAlive;
     m_isContinueSent = false;
-    auto exchange = std::make_unique<caller_exchange>(*this, std::move(receivedRequest),
-                                                      m_server.m_clock.now(), m_isFirstRequest);
+    const request_times times{m_requestBegin, m_latestArrival};
+    m_unparsedArrival = m_latestArrival;
+    auto exchange = std::make_unique<caller_exchange>(*this, std::move(receivedRequest), times,
+                                                      m_isFirstRequest);
     m_isFirstRequest = false;
     m_exchange = exchange.get();
     m_server.m_handler(std::move(exchange));
--- a/modules/net/loop.cpp
+++ b/modules/net/loop.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/** A wait for events that is shorter than this found them waiting. */
+constexpr std::chrono::milliseconds minimumWait{1};
 /** Size of one read; a complete response of a target fits. */
 constexpr std::size_t readBufferSize = 64 * 1024;
 
@@ -30,12 +32,15 @@
     time_point waitBeganAt = std::chrono::steady_clock::now();
     /** Total time of all waits until then. */
     std::chrono::nanoseconds waitTimeBefore{0};
+    std::uint64_t waitNumber = 0;
+    /** When the wait before that ended. */
+    time_point previousWaitEndedAt = waitBeganAt;
     std::function<void(duration)> turnEndHandler;
 
-    /** Returns when the latest wait for events ended. */
-    [[nodiscard]] time_point waitEndedAt()
+    /** Returns how long the latest wait for events took. */
+    [[nodiscard]] duration waitTime()
     {
-        return waitBeganAt + (std::chrono::nanoseconds(uv_metrics_idle_time(&uv)) - waitTimeBefore);
+        return std::chrono::nanoseconds(uv_metrics_idle_time(&uv)) - waitTimeBefore;
     }
 
     void startWaitHandle()
@@ -52,9 +57,11 @@
     void endTurn()
     {
         const time_point now = std::chrono::steady_clock::now();
+        previousWaitEndedAt = waitBeganAt + waitTime();
         if (turnEndHandler)
-            turnEndHandler(now - waitEndedAt());
+            turnEndHandler(now - previousWaitEndedAt);
         waitBeganAt = now;
+        ++waitNumber;
         waitTimeBefore = std::chrono::nanoseconds(uv_metrics_idle_time(&uv));
     }
 };
@@ -92,6 +99,21 @@
     m_implementation->turnEndHandler = std::move(handler);
 }
 
+watch_begin loop::beginWatch() const noexcept
+{
+    // What begins a source, for example a connection, is an event that is watched already.
+    return {m_implementation->waitNumber + 1, earliestEventTime({})};
+}
+
+time_point loop::earliestEventTime(const watch_begin &source) const noexcept
+{
+    const duration waitTime = m_implementation->waitTime();
+    if (waitTime >= minimumWait)
+        return m_implementation->waitBeganAt + waitTime;
+    const bool isFirstWait = source.firstWait == m_implementation->waitNumber;
+    return isFirstWait ? source.earliestEvent : m_implementation->previousWaitEndedAt;
+}
+
 void loop::onSignal(int number, std::function<void()> handler)
 {
     signal_registration &registration = m_implementation->signals.emplace_back();
--- a/modules/net/stream.cpp
+++ b/modules/net/stream.cpp
@@ -34,6 +34,8 @@
     stream_handler *handler = nullptr;
     bool isConnected = false;
     bool isFinishing = false;
+    watch_begin reading;
+    time_point earliestArrival;
 
     uv_stream_t *asStream() { return reinterpret_cast<uv_stream_t *>(&tcp); }
     static implementation &of(uv_handle_t *handle)
@@ -76,6 +78,7 @@
     void startReading()
     {
         isConnected = true;
+        reading = owner->beginWatch();
         uv_tcp_nodelay(&tcp, 1);
         uv_read_start(
             asStream(),
@@ -86,13 +89,19 @@
             [](uv_stream_t *handle, ssize_t count, const uv_buf_t *buffer) {
                 implementation &self = of(handle);
                 if (count > 0)
-                    self.handler->onData({buffer->base, static_cast<std::size_t>(count)});
+                    self.receive({buffer->base, static_cast<std::size_t>(count)});
                 else if (count < 0)
                     self.end(count == UV_EOF ? stream_end_reason::PeerClosed
                                              : stream_end_reason::Broken);
             });
     }
 
+    void receive(std::string_view data)
+    {
+        earliestArrival = owner->earliestEventTime(reading);
+        handler->onData(data);
+    }
+
     void end(stream_end_reason reason)
     {
         if (handler == nullptr)
@@ -143,6 +152,11 @@
         m_implementation->startReading();
 }
 
+time_point stream::earliestArrival() const noexcept
+{
+    return m_implementation->earliestArrival;
+}
+
 void stream::write(std::string data)
 {
     implementation &self = *m_implementation;
--- a/scripts/platform-fleet.sh
+++ b/scripts/platform-fleet.sh
@@ -1,6 +1,9 @@
 # Functions to start hosts of the platform deployment with the platform stand-in; sourced after
 # fleet.sh.
 
+# FLEET_LINK_MBIT: data rate of each host's network link in Mbit/s (1000)
+FLEET_LINK_MBIT=${FLEET_LINK_MBIT:-1000}
+
 # platform_settings NUMBER [DATA_CENTRE]: prints the settings of a host; one with a data centre can
 # relay changes of the store.
 platform_settings() {
@@ -18,6 +21,9 @@
 metrics = 127.0.0.1:$((FLEET_PORT + 440 + number))
 $relay
 
+[network]
+link_mbit_per_s = $FLEET_LINK_MBIT
+
 [store]
 address = 127.0.0.1:$((FLEET_PORT + 399))
 
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -36,8 +36,10 @@
             {"Priority", 1},          {"MaxAttempts", 2}};
 }
 
-/** Returns a configuration with a route whose name contains the version, "added-5" for example. */
-std::string makeConfiguration(std::uint32_t shards, std::uint64_t version)
+/** Returns a configuration with a route whose name contains the version, "added-5" for example, and
+    with a number of further routes. */
+std::string makeConfiguration(std::uint32_t shards, std::uint64_t version,
+                              std::uint64_t furtherRoutes)
 {
     json services = json::array();
     json serviceNames = json::array();
@@ -54,10 +56,12 @@
     singleRoute["Service"] = "shard-0";
     json addedRoute = makeRoute(fmt::format("added-{}", version), "idempotent");
     addedRoute["Service"] = "shard-0";
-    return json{{"ConfigVersion", version},
-                {"Routes", {scatterRoute, singleRoute, addedRoute}},
-                {"Services", services}}
-        .dump();
+    json routes = {scatterRoute, singleRoute, addedRoute};
+    for (std::uint64_t number = 0; number < furtherRoutes; ++number) {
+        routes.push_back(makeRoute(fmt::format("further-{}", number), "idempotent"));
+        routes.back()["Service"] = "shard-0";
+    }
+    return json{{"ConfigVersion", version}, {"Routes", routes}, {"Services", services}}.dump();
 }
 
 /** A simulated platform: a store, and three targets for each shard, one in each data centre. */
@@ -141,12 +145,21 @@
         else if (command == "/write-again")
             writeAgain();
         else if (command.starts_with(configurationCommand))
-            writeConfiguration(parseNumber(command.substr(configurationCommand.size())));
+            executeConfiguration(command.substr(configurationCommand.size()));
         else
             return false;
         return true;
     }
 
+    /** Carries out "VERSION" or "VERSION/FURTHER-ROUTES". */
+    void executeConfiguration(std::string_view arguments)
+    {
+        const auto separator = arguments.find('/');
+        if (separator != std::string_view::npos)
+            m_furtherRoutes = parseNumber(arguments.substr(separator + 1));
+        writeConfiguration(parseNumber(arguments.substr(0, separator)));
+    }
+
     static std::uint64_t parseNumber(std::string_view text)
     {
         std::uint64_t number = 0;
@@ -178,7 +191,7 @@
     void writeConfiguration(std::uint64_t version)
     {
         m_configurationVersion = version;
-        m_store.put("op/config", makeConfiguration(m_shards, version));
+        m_store.put("op/config", makeConfiguration(m_shards, version, m_furtherRoutes));
     }
 
     /** Writes again what operators and targets wrote, as they do after a restore. */
@@ -201,6 +214,7 @@
     std::vector<std::unique_ptr<standins::platform_target>> m_targets;
     std::uint64_t m_registrationSequence = 0;
     std::uint64_t m_configurationVersion = 0;
+    std::uint64_t m_furtherRoutes = 0;
 };
 
 } // namespace
--- a/tests/remaining_time_test.cpp
+++ b/tests/remaining_time_test.cpp
@@ -43,6 +43,15 @@
     blocking_caller(const blocking_caller &) = delete;
     blocking_caller &operator=(const blocking_caller &) = delete;
 
+    /** Returns the first bytes of a response that has arrived. */
+    [[nodiscard]] std::string receive() const
+    {
+        std::string buffer(4096, '\0');
+        const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        buffer.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+        return buffer;
+    }
+
     void send(std::string_view bytes) const
     {
         REQUIRE(::send(m_descriptor, bytes.data(), bytes.size(), 0)
@@ -175,3 +184,23 @@
         CHECK(f.excessOf(f.target.lastRequest(), sentAt) <= single_host_fixture::maximumExcess);
     }
 }
+
+TEST_CASE("a request whose deadline passes before it is read is refused and reaches no target")
+{
+    single_host_fixture f;
+    f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
+    f.writeConfiguration(1, 0);
+    f.startHost(single_host_fixture::hostSettings());
+    const blocking_caller caller;
+    caller.send("GET /path-0/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n"
+                "X-Time-Budget-Ms: 400\r\n\r\n");
+    std::this_thread::sleep_for(delay);
+    std::string response;
+    f.runUntil([&] {
+        response += caller.receive();
+        return !response.empty();
+    });
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    f.runFor(50ms);
+    CHECK(f.target.arrivalCount() == 0);
+}
