--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -151,6 +151,7 @@
     void giveUpWaiting(active_query &query);
     void onExchangeEnd(std::uint64_t number, http::exchange_result &&result);
     void recordReports(const instance_id &instance, const target_answer &answer);
+    void recordLimit(target &reporter, const target_answer &answer);
     void recordObservation(const attempt &finishedAttempt, target_observation observation);
     void handleAttemptOutcome(const attempt &finishedAttempt, attempt_outcome outcome,
                               std::optional<target_answer> answer);
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -135,6 +135,7 @@
         m_environment.log.info("target-leaving", {{"target", instance.value()}});
         reporter->recordLeaving();
     }
+    recordLimit(*reporter, answer);
     if (!answer.invalidPause.empty())
         m_environment.log.writeRateLimited(
             "target-pause-invalid",
@@ -149,6 +150,25 @@
          {"ms", query_details::wholeMilliseconds(*answer.requestedPause).count()}});
 }
 
+template <request_format Format>
+void query_service<Format>::recordLimit(target &reporter, const target_answer &answer)
+{
+    const std::string &instance = reporter.registration().instance.value();
+    if (answer.invalidLimit) {
+        m_environment.log.writeRateLimited("target-limit-invalid",
+                                           {{"target", instance}, {"limit", *answer.invalidLimit}});
+        return;
+    }
+    if (!reporter.recordLimit(answer.namedLimit))
+        return;
+    if (answer.namedLimit)
+        m_environment.log.info(
+            "target-limited",
+            {{"target", instance}, {"per_s", *answer.namedLimit}, {"hosts", m_memberCount}});
+    else
+        m_environment.log.info("target-unlimited", {{"target", instance}});
+}
+
 template <request_format Format>
 void query_service<Format>::recordObservation(const attempt &finishedAttempt,
                                               target_observation observation)
--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -41,6 +41,11 @@
     std::optional<duration> requestedPause;
     /** The text of a requested pause that is invalid or too long; empty if there is none. */
     std::string invalidPause;
+    /** Requests a second that the target takes from all hosts together; nothing if it names no
+        limit. */
+    std::optional<double> namedLimit;
+    /** The text of a limit that is not a number, if any. */
+    std::optional<std::string> invalidLimit;
     http::response response;
 };
 
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -100,6 +100,13 @@
         later than that, at a time of its own, so that not all hosts return at once. */
     void recordPause(duration pause, time_point now);
 
+    /** Records the rate of requests that it takes from all hosts together, or that an answer named
+        none. @returns whether that has changed */
+    bool recordLimit(std::optional<double> requestsPerSecond);
+
+    /** Returns the rate of requests that it takes from all hosts together, if it has named one. */
+    [[nodiscard]] std::optional<double> namedLimit() const noexcept { return m_namedLimit; }
+
     /** Returns the time until which the target is avoided after failures. */
     [[nodiscard]] time_point avoidedUntil() const noexcept { return m_avoidedUntil; }
     /** Returns whether another instance has recently answered at its address. */
@@ -157,6 +164,7 @@
     time_point m_replacedUntil;
     time_point m_pausedUntil;
     bool m_hasReportedLeaving = false;
+    std::optional<double> m_namedLimit;
     std::vector<time_point> m_sendTimes;
     std::size_t m_consecutiveFailures = 0;
     double m_failureShare = 0;
--- a/modules/serving/status_report.cpp
+++ b/modules/serving/status_report.cpp
@@ -51,6 +51,7 @@
             {"dataCentre", registration.dataCentre.value()},
             {"slots", registration.slots},
             {"cold", describedTarget.isCold(now)},
+            {"limitPerSecond", describedTarget.namedLimit().value_or(0)},
             {"slowness", describedTarget.slowness(now)},
             {"failureShare", describedTarget.failureShare()},
             {"inFlight", describedTarget.inFlight()},
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -150,6 +150,13 @@
     m_pausedUntil = std::max(m_pausedUntil, now + pause + scaled(spread, phase));
 }
 
+bool target::recordLimit(std::optional<double> requestsPerSecond)
+{
+    const bool hasChanged = m_namedLimit.has_value() != requestsPerSecond.has_value();
+    m_namedLimit = requestsPerSecond;
+    return hasChanged;
+}
+
 double target::slowness(time_point now) const
 {
     const std::chrono::duration<double> age = now - m_slownessUpdatedAt;
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -66,9 +66,14 @@
         return std::string(http::findHeader(m_request.headers, name).value_or(""));
     }
 
-    [[nodiscard]] std::string leavingHeader() const
+    /** Returns the headers in which the target reports on itself. */
+    [[nodiscard]] std::string reportHeaders() const
     {
-        return m_owner.m_isLeaving ? "Server-Leaving: 1\r\n" : "";
+        const std::string leaving = m_owner.m_isLeaving ? "Server-Leaving: 1\r\n" : "";
+        const std::string limit = m_owner.m_namedLimit.empty()
+            ? ""
+            : fmt::format("Server-Limit: {}\r\n", m_owner.m_namedLimit);
+        return leaving + limit;
     }
 
     /** Returns false if this connection was deleted. */
@@ -96,7 +101,7 @@
                 : std::string();
             m_stream->write(formatResponse(
                 503, header("X-Attempt-Id"), "",
-                leavingHeader() + pause + "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
+                reportHeaders() + pause + "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
             return true;
         }
         m_isRunning = true;
@@ -121,21 +126,21 @@
         case target_fault::Shed:
         case target_fault::ConnectionClosed:
             return m_stream->write(
-                formatResponse(200, id, serverStamp, leavingHeader() + contentLength(body), body));
+                formatResponse(200, id, serverStamp, reportHeaders() + contentLength(body), body));
         case target_fault::ServerError:
             return m_stream->write(formatResponse(
-                500, id, serverStamp, leavingHeader() + contentLength(firstHalf), firstHalf));
+                500, id, serverStamp, reportHeaders() + contentLength(firstHalf), firstHalf));
         case target_fault::TruncatedBody:
             m_stream->write(formatResponse(200, id, serverStamp,
-                                           leavingHeader() + contentLength(body), firstHalf));
+                                           reportHeaders() + contentLength(body), firstHalf));
             delete this;
             return;
         case target_fault::NoResponse:
             return;
         case target_fault::ExtraResponse:
             return m_stream->write(
-                formatResponse(200, id, serverStamp, leavingHeader() + contentLength(body), body)
-                + formatResponse(200, id, serverStamp, leavingHeader() + contentLength(firstHalf),
+                formatResponse(200, id, serverStamp, reportHeaders() + contentLength(body), body)
+                + formatResponse(200, id, serverStamp, reportHeaders() + contentLength(firstHalf),
                                  firstHalf));
         case target_fault::UnframedTruncatedBody:
             m_stream->write(
@@ -144,7 +149,7 @@
         case target_fault::MismatchedId:
             return m_stream->write(
                 formatResponse(200, "another", "another.stamp", contentLength(firstHalf), firstHalf)
-                + formatResponse(200, id, serverStamp, leavingHeader() + contentLength(body),
+                + formatResponse(200, id, serverStamp, reportHeaders() + contentLength(body),
                                  body));
         case target_fault::MalformedResponse:
             return m_stream->write("these bytes are no answer\r\n\r\n");
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -68,6 +68,9 @@
     /** Sets the value of Retry-After with which every request is refused; empty for none. */
     void setRequestedPause(std::string retryAfter) { m_requestedPause = std::move(retryAfter); }
 
+    /** Sets the rate that every response names as a limit over all hosts; empty for none. */
+    void setNamedLimit(std::string rate) { m_namedLimit = std::move(rate); }
+
     void setWorkTime(std::chrono::milliseconds workTime) { m_settings.workTime = workTime; }
 
     /** Returns the registration document of this target, as it is written to the store. */
@@ -104,6 +107,7 @@
     target_fault m_fault = target_fault::None;
     bool m_isLeaving = false;
     std::string m_requestedPause;
+    std::string m_namedLimit;
     std::set<connection *> m_connections;
     std::map<std::string, std::size_t> m_runCountsById;
     std::size_t m_runCount = 0;
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -94,8 +94,8 @@
     }
 
 private:
-    /** Carries out "target/INDEX/arrivals", "target/INDEX/leaving" or
-        "target/INDEX/pause[/RETRY-AFTER]"; without a value the pause ends. */
+    /** Carries out "target/INDEX/arrivals", "target/INDEX/leaving", "target/INDEX/limit[/RATE]" or
+        "target/INDEX/pause[/RETRY-AFTER]"; without a value the limit or the pause ends. */
     std::optional<std::string> executeAtTarget(const std::vector<std::string> &words)
     {
         const auto index = parseNumber(words[1]);
@@ -106,6 +106,8 @@
             target.setLeaving(true);
         else if (words[2] == "pause")
             target.setRequestedPause(words.size() > 3 ? words[3] : "");
+        else if (words[2] == "limit")
+            target.setNamedLimit(words.size() > 3 ? words[3] : "");
         else if (words[2] != "arrivals")
             return std::nullopt;
         return std::to_string(target.arrivalCount());
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -226,6 +226,42 @@
     }
 }
 
+TEST_CASE("a target names a limit in answers of any status")
+{
+    struct row
+    {
+        std::string name;
+        int status;
+        std::optional<std::string> text;
+        std::optional<double> limit;
+        bool isInvalid;
+    };
+    const row rows[] = {
+        {"none", 200, std::nullopt, std::nullopt, false},
+        {"whole number", 200, "30", 30, false},
+        {"a fraction", 503, "24.6", 24.6, false},
+        {"zero", 200, "0", 0, false},
+        {"a failure", 500, "2.5", 2.5, false},
+        {"a negative number", 200, "-1", std::nullopt, true},
+        {"not a number", 200, "nan", std::nullopt, true},
+        {"infinite", 200, "inf", std::nullopt, true},
+        {"a unit", 200, "30/s", std::nullopt, true},
+        {"empty", 200, "", std::nullopt, true},
+        {"too large for a number", 200, "1e999", std::nullopt, true},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        http::response response;
+        response.status = item.status;
+        response.headers = {{"X-Server-Stamp", "s"}};
+        if (item.text)
+            response.headers.push_back({"Server-Limit", *item.text});
+        const target_answer answer = wire_format().readAnswer(std::move(response));
+        CHECK((answer.namedLimit == item.limit));
+        CHECK(answer.invalidLimit.has_value() == item.isInvalid);
+    }
+}
+
 TEST_CASE("a merged answer lists the stamps of its answers and the number of missing shards")
 {
     const wire_format format;
