Hosts share the limits that targets name

Cause: no host followed the limit. The class is a limit over all hosts that nobody counts; hosts learn of it one by one, restart and are cut off. Each host therefore gets turns at an even share of the rate, spread over the hosts by a phase. A turn that isn't used within 1.25 s is lost, so that hosts that were idle and get requests at the same moment don't send all at once: in 4 s the sum is about that of 5.25 s, and the rule allows 6 s and five requests. Hosts that haven't learned of the limit have a share all the same, and members are counted too high rather than too low after a change. A limit ends with the answer to a request that was sent after it was last named. Targets that take less than one request in two seconds are tried at that rate, as only answers tell the end. A shard without a turn soon is given up at once (over-limit); a short wait ends with a timer at the turn.

--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -18,6 +18,8 @@
     None,
     NoTarget,
     NoCapacity,
+    /** The limits that its targets have named leave no turn to this host soon. */
+    OverLimit,
     NoBudget,
     /** Its attempts failed, and no further one is allowed. */
     Exhausted,
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -104,6 +104,13 @@
         target *selectedTarget = nullptr;
         missing_shard_reason missingReason = missing_shard_reason::None;
         std::size_t maximumConnections = 1;
+
+        /** Returns whether waiting for a target is useless. */
+        [[nodiscard]] bool isHopeless() const
+        {
+            return missingReason == missing_shard_reason::NoTarget
+                || missingReason == missing_shard_reason::OverLimit;
+        }
     };
 
     /** Orders the shards that wait for capacity: the most urgent first, then the earliest end. */
@@ -145,13 +152,14 @@
     bool tryStartAttempt(active_query &query, std::size_t shardIndex);
     void startAttempt(active_query &query, std::size_t shardIndex, const target_choice &choice);
     void waitForCapacity(active_query &query, std::size_t shardIndex, time_point until);
+    void scheduleTurn(duration delay);
     /** Returns the delay until a request can be sent, or nothing if no connection is available. */
     std::optional<duration> connectionDelay(const target &candidate,
                                             std::size_t maximumConnections);
     void giveUpWaiting(active_query &query);
     void onExchangeEnd(std::uint64_t number, http::exchange_result &&result);
-    void recordReports(const instance_id &instance, const target_answer &answer);
-    void recordLimit(target &reporter, const target_answer &answer);
+    void recordReports(const attempt &finishedAttempt, const target_answer &answer);
+    void recordLimit(target &reporter, const attempt &finishedAttempt, const target_answer &answer);
     void recordObservation(const attempt &finishedAttempt, target_observation observation);
     void handleAttemptOutcome(const attempt &finishedAttempt, attempt_outcome outcome,
                               std::optional<target_answer> answer);
@@ -201,6 +209,9 @@
     std::vector<std::unique_ptr<http::caller_exchange>> m_heldRequests;
     net::timer m_startupTimer;
     net::timer m_admissionTimer;
+    /** Expires when this host has a turn at a target that has named a limit. */
+    net::timer m_turnTimer;
+    time_point m_nextTurn = time_point::max();
     bool m_isOpen = false;
 };
 
--- a/include/mustardcourse/serving/query_service_admission.h
+++ b/include/mustardcourse/serving/query_service_admission.h
@@ -54,7 +54,7 @@
     for (std::size_t shardIndex = 0; shardIndex < query.shards.size(); ++shardIndex) {
         choices.push_back(chooseTarget(query, shardIndex));
         shardsWithCapacity += choices.back().selectedTarget != nullptr ? 1 : 0;
-        shardsWithTargets += choices.back().missingReason == missing_shard_reason::NoTarget ? 0 : 1;
+        shardsWithTargets += choices.back().isHopeless() ? 0 : 1;
     }
     // If too few shards can answer in time, work on the others would be wasted.
     if (shardsWithCapacity < query.progress.parameters().minimumAnswers) {
@@ -75,7 +75,7 @@
             continue;
         }
         query.shards[shardIndex].missingReason = choice.missingReason;
-        if (choice.missingReason == missing_shard_reason::NoTarget)
+        if (choice.isHopeless())
             query.progress.giveUp(shardIndex);
         else
             waitForCapacity(query, shardIndex, m_environment.time.now() + shardWait(query));
@@ -136,17 +136,43 @@
     const duration limit = capacityLatencyLimit(*query.matchedRoute);
     const time_point now = m_environment.time.now();
     bool hasUsableTarget = false;
+    bool hasTargetWithinLimit = false;
+    duration earliestTurn = duration::max();
     target *selectedTarget = m_environment.directory.choose(
-        {shard.service, medianLatency, shard.triedTargets}, [&](const target &candidate) {
+        {shard.service, medianLatency, shard.triedTargets},
+        [&](target &candidate) -> std::optional<duration> {
             hasUsableTarget = true;
+            const duration untilTurn = candidate.timeUntilTurn(m_memberCount, now);
+            if (untilTurn > duration::zero()) {
+                earliestTurn = std::min(earliestTurn, untilTurn);
+                return std::nullopt;
+            }
+            hasTargetWithinLimit = true;
             const bool hasCapacity = candidate.maySendWhileCold(coldRate, m_memberCount, now)
                 && candidate.hasCapacity(medianLatency, limit, now);
             return hasCapacity ? connectionDelay(candidate, maximumConnections) : std::nullopt;
         });
-    const missing_shard_reason missingReason =
-        hasUsableTarget ? missing_shard_reason::NoCapacity : missing_shard_reason::NoTarget;
-    return {selectedTarget, selectedTarget != nullptr ? missing_shard_reason::None : missingReason,
-            maximumConnections};
+    if (selectedTarget != nullptr)
+        return {selectedTarget, missing_shard_reason::None, maximumConnections};
+    if (!hasUsableTarget)
+        return {nullptr, missing_shard_reason::NoTarget, maximumConnections};
+    if (!hasTargetWithinLimit && earliestTurn > shardWait(query)) {
+        m_environment.metrics.limitDenials.Increment();
+        return {nullptr, missing_shard_reason::OverLimit, maximumConnections};
+    }
+    if (earliestTurn != duration::max())
+        scheduleTurn(earliestTurn);
+    return {nullptr, missing_shard_reason::NoCapacity, maximumConnections};
+}
+
+template <request_format Format>
+void query_service<Format>::scheduleTurn(duration delay)
+{
+    const time_point turn = m_environment.time.now() + delay;
+    if (turn >= m_nextTurn)
+        return;
+    m_nextTurn = turn;
+    m_turnTimer.start(delay);
 }
 
 template <request_format Format>
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -91,7 +91,7 @@
         outcome = isCompletenessUnknown && answer->outcome == attempt_outcome::Answered
             ? attempt_outcome::Lost
             : answer->outcome;
-        recordReports(finishedAttempt.instance, *answer);
+        recordReports(finishedAttempt, *answer);
     }
     m_environment.metrics.countAttempt(std::string(query_details::nameOf(outcome)));
     switch (outcome) {
@@ -123,8 +123,10 @@
 }
 
 template <request_format Format>
-void query_service<Format>::recordReports(const instance_id &instance, const target_answer &answer)
+void query_service<Format>::recordReports(const attempt &finishedAttempt,
+                                          const target_answer &answer)
 {
+    const instance_id &instance = finishedAttempt.instance;
     target *reporter = m_environment.directory.find(instance);
     if (reporter == nullptr || answer.isFromOtherInstance)
         return;
@@ -135,7 +137,7 @@
         m_environment.log.info("target-leaving", {{"target", instance.value()}});
         reporter->recordLeaving();
     }
-    recordLimit(*reporter, answer);
+    recordLimit(*reporter, finishedAttempt, answer);
     if (!answer.invalidPause.empty())
         m_environment.log.writeRateLimited(
             "target-pause-invalid",
@@ -151,7 +153,8 @@
 }
 
 template <request_format Format>
-void query_service<Format>::recordLimit(target &reporter, const target_answer &answer)
+void query_service<Format>::recordLimit(target &reporter, const attempt &finishedAttempt,
+                                        const target_answer &answer)
 {
     const std::string &instance = reporter.registration().instance.value();
     if (answer.invalidLimit) {
@@ -159,7 +162,7 @@
                                            {{"target", instance}, {"limit", *answer.invalidLimit}});
         return;
     }
-    if (!reporter.recordLimit(answer.namedLimit))
+    if (!reporter.recordLimit(answer.namedLimit, finishedAttempt.sentAt, m_environment.time.now()))
         return;
     if (answer.namedLimit)
         m_environment.log.info(
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -60,6 +60,10 @@
     , m_cancelTimer(environment.loop, [this] { cancelExpiredAttempts(); })
     , m_startupTimer(environment.loop, [this] { dispatchHeldRequests(); })
     , m_admissionTimer(environment.loop, [this] { admitPending(); })
+    , m_turnTimer(environment.loop, [this] {
+        m_nextTurn = time_point::max();
+        retryWaitingRequests();
+    })
 { }
 
 template <request_format Format>
--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -38,6 +38,7 @@
     prometheus::Counter &budgetDenials;
     prometheus::Counter &connectionsOpened;
     prometheus::Counter &targetPauses;
+    prometheus::Counter &limitDenials;
     prometheus::Counter &storeCalls;
     prometheus::Counter &storeFailures;
     prometheus::Counter &storeListings;
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -3,6 +3,7 @@
 #include <mustardcourse/core/clock.h>
 #include <mustardcourse/core/endpoint.h>
 #include <mustardcourse/core/ids.h>
+#include <mustardcourse/limits/shared_rate.h>
 
 #include <algorithm>
 #include <map>
@@ -100,9 +101,19 @@
         later than that, at a time of its own, so that not all hosts return at once. */
     void recordPause(duration pause, time_point now);
 
-    /** Records the rate of requests that it takes from all hosts together, or that an answer named
-        none. @returns whether that has changed */
-    bool recordLimit(std::optional<double> requestsPerSecond);
+    /**
+        Records the rate of requests that it takes from all hosts together, or that an answer named
+        none.
+
+        @param sentAt  when the request of the answer was sent; an answer to an earlier request than
+                       the latest one that named a limit doesn't end it
+        @returns whether a limit has begun or ended
+    */
+    bool recordLimit(std::optional<double> requestsPerSecond, time_point sentAt, time_point now);
+
+    /** Returns how long this host has to wait until its next turn within the limit that the target
+        has named; zero if there is none. @see limits::shared_rate */
+    [[nodiscard]] duration timeUntilTurn(std::size_t memberCount, time_point now);
 
     /** Returns the rate of requests that it takes from all hosts together, if it has named one. */
     [[nodiscard]] std::optional<double> namedLimit() const noexcept { return m_namedLimit; }
@@ -157,6 +168,8 @@
 private:
     [[nodiscard]] double occupancy(duration typicalLatency, time_point now) const;
     [[nodiscard]] double weightOfObservation(time_point now) const;
+    /** Returns the phase of this host, from 0 to 1. */
+    [[nodiscard]] double relativePhase() const;
 
     target_registration m_registration;
     time_point m_coldUntil;
@@ -165,6 +178,7 @@
     time_point m_pausedUntil;
     bool m_hasReportedLeaving = false;
     std::optional<double> m_namedLimit;
+    time_point m_limitNamedAt;
     std::vector<time_point> m_sendTimes;
     std::size_t m_consecutiveFailures = 0;
     double m_failureShare = 0;
@@ -176,6 +190,7 @@
     time_point m_coldSince;
     /** Differs between hosts, so that they do not all send at the same moment. */
     std::uint32_t m_phase = 0;
+    limits::shared_rate m_limitTurns;
 };
 
 /** Criteria for choosing the target of one request. */
--- a/modules/serving/query.cpp
+++ b/modules/serving/query.cpp
@@ -11,6 +11,8 @@
         return "no-target";
     case missing_shard_reason::NoCapacity:
         return "no-room";
+    case missing_shard_reason::OverLimit:
+        return "over-limit";
     case missing_shard_reason::NoBudget:
         return "no-budget";
     case missing_shard_reason::Exhausted:
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -53,6 +53,8 @@
           counter(m_registry, "mustardcourse_dials_total", "New connections to targets"))
     , targetPauses(counter(m_registry, "mustardcourse_target_pauses_total",
                            "Refusals with which targets requested a pause"))
+    , limitDenials(counter(m_registry, "mustardcourse_limit_denials_total",
+                           "Attempts that the limits which targets have named did not allow"))
     , storeCalls(counter(m_registry, "mustardcourse_store_calls_total", "Calls to the store"))
     , storeFailures(counter(m_registry, "mustardcourse_store_failures_total",
                             "Calls to the store that were refused or not answered"))
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -38,6 +38,11 @@
 /** Share of a requested pause over which the returns of the hosts are spread, and its maximum. */
 constexpr double returnSpread = 0.2;
 constexpr milliseconds maximumReturnSpread{500};
+/** Time for which a host can use its turn at a target that has named a limit. */
+constexpr milliseconds limitTurnLifetime{1250};
+/** Rate for all hosts together at which a target that takes less than this is tried, as only its
+    answers show that the limit has ended. */
+constexpr double minimumLimit = 0.5;
 /** Cost of a target that always fails, as a multiple of the typical latency. */
 constexpr double failurePenalty = 10;
 /** Multiple of a target's usual latency after which its oldest request counts as stalled. */
@@ -58,6 +63,7 @@
     , m_lastSentAt(now - probeInterval)
     , m_coldSince(now)
     , m_phase(phase)
+    , m_limitTurns(0, limitTurnLifetime, now)
 { }
 
 void target::update(target_registration registration, time_point now)
@@ -78,6 +84,7 @@
 {
     m_sendTimes.push_back(now);
     m_lastSentAt = now;
+    m_limitTurns.recordSent();
 }
 
 void target::recordOutcome(target_observation observation, time_point sentAt, time_point now,
@@ -145,18 +152,35 @@
 
 void target::recordPause(duration pause, time_point now)
 {
-    const double phase = static_cast<double>(m_phase) / std::numeric_limits<std::uint32_t>::max();
     const duration spread = std::min<duration>(scaled(pause, returnSpread), maximumReturnSpread);
-    m_pausedUntil = std::max(m_pausedUntil, now + pause + scaled(spread, phase));
+    m_pausedUntil = std::max(m_pausedUntil, now + pause + scaled(spread, relativePhase()));
 }
 
-bool target::recordLimit(std::optional<double> requestsPerSecond)
+bool target::recordLimit(std::optional<double> requestsPerSecond, time_point sentAt, time_point now)
 {
+    if (!requestsPerSecond && sentAt < m_limitNamedAt)
+        return false;
     const bool hasChanged = m_namedLimit.has_value() != requestsPerSecond.has_value();
     m_namedLimit = requestsPerSecond;
+    if (requestsPerSecond)
+        m_limitNamedAt = now;
+    if (requestsPerSecond && hasChanged)
+        m_limitTurns = limits::shared_rate(relativePhase(), limitTurnLifetime, now);
     return hasChanged;
 }
 
+duration target::timeUntilTurn(std::size_t memberCount, time_point now)
+{
+    if (!m_namedLimit)
+        return duration::zero();
+    return m_limitTurns.timeUntilTurn({std::max(*m_namedLimit, minimumLimit), memberCount}, now);
+}
+
+double target::relativePhase() const
+{
+    return static_cast<double>(m_phase) / std::numeric_limits<std::uint32_t>::max();
+}
+
 double target::slowness(time_point now) const
 {
     const std::chrono::duration<double> age = now - m_slownessUpdatedAt;
@@ -212,8 +236,7 @@
     const std::chrono::duration<double> interval(static_cast<double>(memberCount)
                                                  / requestsPerSecond);
     // Hosts that learn of a cold target at the same moment must not all send to it at once.
-    const double phase = static_cast<double>(m_phase) / std::numeric_limits<std::uint32_t>::max();
-    const bool hasPhaseElapsed = now - m_coldSince >= phase * interval;
+    const bool hasPhaseElapsed = now - m_coldSince >= relativePhase() * interval;
     return hasPhaseElapsed && now - m_lastSentAt >= interval;
 }
 
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -3,6 +3,8 @@
 #include <mustardcourse/serving/retry_budgets.h>
 #include <mustardcourse/serving/target_directory.h>
 
+#include <random>
+
 using namespace mustardcourse;
 using namespace mustardcourse::serving;
 using namespace std::chrono_literals;
@@ -320,6 +322,110 @@
     }
 }
 
+TEST_CASE("a target gets at most what the limit that it has named allows in any four seconds")
+{
+    enum class change { None, AllLearnAtOnce, IdleThenBusy, HostsJoin, LimitVaries };
+    struct row
+    {
+        std::string name;
+        std::size_t hosts;
+        double limit;
+        /** Requests a second that each host has for the target. */
+        double demand;
+        change event;
+    };
+    const row rows[] = {
+        {"seven hosts", 7, 30, 9, change::None},
+        {"seven hosts that learn of it at once", 7, 30, 9, change::AllLearnAtOnce},
+        {"seven hosts that were idle", 7, 30, 200, change::IdleThenBusy},
+        {"seven hosts and a small limit", 7, 2, 50, change::AllLearnAtOnce},
+        {"seven hosts and no request wanted", 7, 0, 50, change::AllLearnAtOnce},
+        {"sixty hosts", 60, 18, 0.6, change::None},
+        {"sixty busy hosts", 60, 18, 50, change::AllLearnAtOnce},
+        {"sixty hosts that were idle", 60, 18, 50, change::IdleThenBusy},
+        {"sixty hosts and a small limit", 60, 2, 50, change::IdleThenBusy},
+        {"two hundred hosts", 200, 100, 50, change::IdleThenBusy},
+        {"hosts join", 12, 40, 50, change::HostsJoin},
+        {"a limit that varies", 12, 40, 50, change::LimitVaries},
+    };
+    constexpr auto step = 5ms;
+    constexpr int stepsPerSecond = 200;
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        manual_clock time;
+        std::mt19937_64 random(20261204);
+        std::uniform_real_distribution<double> uniform(0, 1);
+        std::vector<std::unique_ptr<target_directory>> hosts;
+        const bool doHostsJoin = item.event == change::HostsJoin;
+        std::vector<time_point> sendTimes;
+        for (int number = 0; number < 30 * stepsPerSecond; ++number) {
+            const bool isMidway = number == 15 * stepsPerSecond;
+            const std::size_t hostCount =
+                doHostsJoin && number < 15 * stepsPerSecond ? item.hosts * 3 / 4 : item.hosts;
+            while (hosts.size() < hostCount) {
+                hosts.push_back(std::make_unique<target_directory>(
+                    time,
+                    placement_parameters{riga, 8ms,
+                                         host_id("host-" + std::to_string(hosts.size()))}));
+                hosts.back()->update(makeRegistration("a"));
+            }
+            const bool isIdle = item.event == change::IdleThenBusy && number < 15 * stepsPerSecond;
+            const double limit = item.event == change::LimitVaries
+                ? item.limit * (0.8 + 0.2 * uniform(random))
+                : item.limit;
+            for (const auto &host : hosts) {
+                target *found = host->find(instance_id("a"));
+                const bool learnsNow =
+                    item.event == change::None ? uniform(random) < 0.01 : number == 0 || isMidway;
+                if (!found->namedLimit() && learnsNow)
+                    found->recordLimit(limit, time.now(), time.now());
+                const bool hasDemand = !isIdle && uniform(random) < item.demand / stepsPerSecond;
+                const bool isKnown = found->namedLimit().has_value();
+                if (!hasDemand || !isKnown
+                    || found->timeUntilTurn(hostCount, time.now()) > duration::zero())
+                    continue;
+                found->recordSent(time.now());
+                found->recordLimit(limit, time.now(), time.now());
+                sendTimes.push_back(time.now());
+            }
+            time.advance(step);
+        }
+        std::size_t maximumInWindow = 0;
+        for (std::size_t first = 0, last = 0; last < sendTimes.size(); ++last) {
+            while (sendTimes[last] - sendTimes[first] >= 4s)
+                ++first;
+            maximumInWindow = std::max(maximumInWindow, last - first + 1);
+        }
+        // The platform's bound is one and a half times the limit plus five requests.
+        CHECK(double(maximumInWindow) <= 1.5 * item.limit * 4 + 5);
+        // Hosts with enough requests use the limit.
+        const double busySeconds = item.event == change::IdleThenBusy ? 15 : 30;
+        const double wanted = item.demand * double(item.hosts) * busySeconds;
+        if (wanted > 4 * item.limit * busySeconds)
+            CHECK(double(sendTimes.size()) >= 0.8 * item.limit * busySeconds);
+    }
+}
+
+TEST_CASE("a limit ends with the answer to a request that was sent after it was last named")
+{
+    manual_clock time;
+    target subject(makeRegistration("a"), time.now());
+    CHECK(subject.timeUntilTurn(7, time.now()) == duration::zero());
+    const time_point before = time.now();
+    time.advance(10ms);
+    CHECK(subject.recordLimit(30, before, time.now()));
+    CHECK(subject.timeUntilTurn(7, time.now()) > duration::zero());
+    time.advance(10ms);
+    CHECK_FALSE(subject.recordLimit(std::nullopt, before, time.now()));
+    CHECK(subject.namedLimit() == 30);
+    CHECK_FALSE(subject.recordLimit(24.5, before, time.now()));
+    CHECK(subject.namedLimit() == 24.5);
+    const time_point after = time.now();
+    time.advance(10ms);
+    CHECK(subject.recordLimit(std::nullopt, after, time.now()));
+    CHECK(subject.timeUntilTurn(7, time.now()) == duration::zero());
+}
+
 TEST_CASE("the retries of all hosts stay within the shared limit in every window")
 {
     CHECK_PROPERTY("budgets", [](const std::vector<std::uint8_t> &events) {
