Cut off targets that send without end

Cause: an exchange skipped any number of interim responses and responses to other requests, and an attempt of a non-idempotent request whose caller had its answer was kept until the target closed, so that connections and work were lost to such a target.

Heads and bodies without end were cut off by their size limits before.

--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -94,7 +94,7 @@
     /** Baseline for the latency of this attempt. @see target::recordOutcome */
     duration baselineLatency{0};
     bool isIdempotent = false;
-    /** When to cancel it; set once its request has ended, if that is idempotent. */
+    /** When to cancel it; set once its request has ended. */
     time_point cancelAt = time_point::max();
     std::shared_ptr<route_statistics> statistics;
 };
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -300,17 +300,19 @@
 template <request_format Format>
 void query_service<Format>::removeQuery(query_number number)
 {
-    const time_point cancelTime = m_environment.time.now() + m_settings.abandonedAttemptTime;
+    const time_point now = m_environment.time.now();
+    const auto found = m_queries.find(number);
+    const time_point deadline = found == m_queries.end() ? now : found->second->deadline;
     bool hasAttemptToCancel = false;
     for (auto &[attemptNumber, abandonedAttempt] : m_attempts) {
         if (abandonedAttempt.queryNumber != number)
             continue;
         abandonedAttempt.queryNumber = 0;
-        // A non-idempotent request runs to its end, as cancelling would leave its result unknown.
-        if (abandonedAttempt.isIdempotent) {
-            abandonedAttempt.cancelAt = cancelTime;
-            hasAttemptToCancel = true;
-        }
+        // A non-idempotent request may run until its deadline, as cancelling would leave its result
+        // unknown; then the target stops its work as well.
+        const time_point end = abandonedAttempt.isIdempotent ? now : std::max(now, deadline);
+        abandonedAttempt.cancelAt = end + m_settings.abandonedAttemptTime;
+        hasAttemptToCancel = true;
     }
     m_queries.erase(number);
     if (hasAttemptToCancel && !m_isCancelTimerRunning) {
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -12,6 +12,10 @@
     peer's close can cross in the network. */
 constexpr double usableIdleFraction = 0.8;
 
+/** Interim responses, and responses to other requests, after which an exchange fails; a peer may
+    send them without end. */
+constexpr std::size_t maximumSkippedResponses = 16;
+
 /** Parses the timeout in a Keep-Alive field such as "timeout=5, max=100". */
 std::optional<std::chrono::seconds> keepAliveTimeout(const header_fields &headers)
 {
@@ -45,6 +49,7 @@
     void send(exchange_id exchange, exchange_request request)
     {
         m_exchange = exchange;
+        m_skippedResponseCount = 0;
         m_request = std::move(request);
         m_reader.expectBody(m_request.isResponseBodyExpected);
         if (m_isConnected)
@@ -78,6 +83,8 @@
     bool m_isConnected = false;
     bool m_hasCarriedExchange = false;
     bool m_hasForeignResponse = false;
+    /** Number of responses that the current exchange has skipped. */
+    std::size_t m_skippedResponseCount = 0;
 };
 
 void client_pool::connection::onConnected()
@@ -125,7 +132,7 @@
     const bool matchesRequest = !m_request.matchesRequest || m_request.matchesRequest(answer);
     if (isInterim || !matchesRequest) {
         m_hasForeignResponse = m_hasForeignResponse || !matchesRequest;
-        if (answer.isKeepAlive)
+        if (answer.isKeepAlive && ++m_skippedResponseCount <= maximumSkippedResponses)
             return false;
         fail(exchange_end::Lost);
         return true;
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -33,6 +33,7 @@
         , m_stream(std::move(stream))
         , m_reader(http::message_reader::direction::Requests, {})
         , m_workTimer(owner.m_loop, [this] { finishWork(); })
+        , m_endlessTimer(owner.m_loop, [this] { sendEndlessly(); })
     {
         m_owner.m_connections.insert(this);
         ++m_owner.m_acceptedConnectionCount;
@@ -153,15 +154,53 @@
                                  body));
         case target_fault::MalformedResponse:
             return m_stream->write("these bytes are no answer\r\n\r\n");
+        case target_fault::EndlessHeader:
+            return beginEndless("HTTP/1.1 200 Answer\r\n", "X-Filler: 0123456789abcdef\r\n", 1000);
+        case target_fault::EndlessBody:
+            return beginEndless(formatResponse(200, id, serverStamp, "", ""), "0123456789abcdef",
+                                1000);
+        case target_fault::EndlessChunks:
+            return beginEndless(
+                formatResponse(200, id, serverStamp, "Transfer-Encoding: chunked\r\n", ""),
+                "10\r\n0123456789abcdef\r\n", 1000);
+        case target_fault::EndlessInterimResponses:
+            return beginEndless("", "HTTP/1.1 100 Continue\r\n\r\n", 100);
+        case target_fault::EndlessOtherResponses:
+            return beginEndless("", formatResponse(200, "another", "stamp", contentLength(""), ""),
+                                100);
+        case target_fault::TricklingBody:
+            return beginEndless(
+                formatResponse(200, id, serverStamp, "Content-Length: 100000\r\n", ""), "0", 1);
         }
     }
 
+    void beginEndless(const std::string &begin, const std::string &piece, std::size_t count)
+    {
+        m_stream->write(begin);
+        m_endlessBytes.clear();
+        for (std::size_t i = 0; i < count; ++i)
+            m_endlessBytes.append(piece);
+        sendEndlessly();
+    }
+
+    void sendEndlessly()
+    {
+        constexpr std::chrono::milliseconds interval{10};
+        if (m_stream->unsentBytes() == 0) {
+            m_stream->write(m_endlessBytes);
+            m_owner.m_endlessByteCount += m_endlessBytes.size();
+        }
+        m_endlessTimer.start(interval);
+    }
+
     platform_target &m_owner;
     std::unique_ptr<net::stream> m_stream;
     http::message_reader m_reader;
     http::request m_request;
     bool m_isRunning = false;
     net::timer m_workTimer;
+    std::string m_endlessBytes;
+    net::timer m_endlessTimer;
 };
 
 platform_target::platform_target(net::loop &loop, const clock &clock, const endpoint &address,
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -31,6 +31,18 @@
     MalformedResponse,
     /** Closes the connection when a request arrives, without running it. */
     ConnectionClosed,
+    /** Runs the request and sends a header without end. */
+    EndlessHeader,
+    /** Runs the request and sends a body without a length and without end. */
+    EndlessBody,
+    /** Runs the request and sends a chunked body without end. */
+    EndlessChunks,
+    /** Runs the request and sends interim responses without end. */
+    EndlessInterimResponses,
+    /** Runs the request and sends responses to other requests without end. */
+    EndlessOtherResponses,
+    /** Runs the request and sends a body of which a byte comes now and then. */
+    TricklingBody,
 };
 
 /** Settings of a platform_target. */
@@ -86,6 +98,8 @@
     }
     [[nodiscard]] std::size_t runCount() const noexcept { return m_runCount; }
     [[nodiscard]] std::size_t arrivalCount() const noexcept { return m_arrivalCount; }
+    /** Returns the number of bytes sent by faults that send without end. */
+    [[nodiscard]] std::size_t endlessByteCount() const noexcept { return m_endlessByteCount; }
     [[nodiscard]] std::size_t connectionCount() const noexcept { return m_connections.size(); }
     [[nodiscard]] std::size_t acceptedConnectionCount() const noexcept
     {
@@ -113,6 +127,7 @@
     std::size_t m_runCount = 0;
     std::size_t m_runningCount = 0;
     std::size_t m_arrivalCount = 0;
+    std::size_t m_endlessByteCount = 0;
     std::size_t m_acceptedConnectionCount = 0;
     std::uint64_t m_startMilliseconds;
     http::request m_lastRequest;
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -229,6 +229,41 @@
     }
 }
 
+TEST_CASE("a target that sends without end is cut off and costs no more than its shard")
+{
+    struct row
+    {
+        std::string name;
+        target_fault fault;
+    };
+    const row rows[] = {
+        {"a header", target_fault::EndlessHeader},
+        {"a body", target_fault::EndlessBody},
+        {"a chunked body", target_fault::EndlessChunks},
+        {"interim responses", target_fault::EndlessInterimResponses},
+        {"responses to other requests", target_fault::EndlessOtherResponses},
+        {"a body that trickles", target_fault::TricklingBody},
+    };
+    // The deadline of the test's requests, and the time to close the connections.
+    constexpr duration cutOffTime = 800ms + 700ms;
+    // What a response may hold at most, twice, and the buffers of a connection.
+    constexpr std::size_t maximumBytes = 8 * 1024 * 1024;
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        f.setFault({0, 1}, item.fault);
+        const http::response answer = f.get("/all/x");
+        CHECK(answer.status == 200);
+        CHECK(headerOf(answer, "X-Missing-Parts") == "1");
+        const http::response once = f.get("/once/x", callerPort, "POST", "booking");
+        CHECK((once.status == 502 || once.status == 504));
+        CHECK(f.runCountOf("booking") <= 1);
+        f.runFor(cutOffTime);
+        CHECK(f.targets[0]->connectionCount() + f.targets[1]->connectionCount() == 0);
+        CHECK(f.targets[0]->endlessByteCount() + f.targets[1]->endlessByteCount() <= maximumBytes);
+    }
+}
+
 TEST_CASE("an answer that ends with the connection is forwarded without a length")
 {
     platform_fixture f;
