--- a/tests/relay_link_test.cpp
+++ b/tests/relay_link_test.cpp
@@ -41,12 +41,6 @@
         REQUIRE(followerStatuses.empty());
     }
 
-    std::uint64_t activeVersion()
-    {
-        const auto status = nlohmann::json::parse(get("/status", metricsPort).body);
-        return status.at("configuration").at("version").get<std::uint64_t>();
-    }
-
     /** Sends a caller's request and returns by how much its target was told too much time. */
     duration sendAndReturnExcess()
     {
--- a/tests/single_host_fixture.h
+++ b/tests/single_host_fixture.h
@@ -102,6 +102,13 @@
         return std::move(result->answer);
     }
 
+    /** Returns the version of the configuration that the host follows. */
+    std::uint64_t activeVersion()
+    {
+        const auto status = nlohmann::json::parse(get("/status", metricsPort).body);
+        return status.at("configuration").at("version").get<std::uint64_t>();
+    }
+
     /** Returns by how much a request that has just arrived at the target tells it more time than
         its caller, who sent it at a time, has left. */
     [[nodiscard]] duration excessOf(const http::request &arrived, time_point sentAt) const
