Watches of the store end within 2.7 s, so that a lost one is noticed in time

What callers saw, or would have: after a silent outage of the store a host went on with the older configuration, evacuations and targets for up to 6.4 s.

Cause: a watch that the store takes in the last moment of an outage is never answered, and nothing but its own end shows that. It ended after 5.5 s and a margin of 0.8 s. With a wait of 2.7 s the end comes after 3.5 s. Other calls have a timeout of 1.2 s, relays a wait of 1.2 s.

Ruled out: to repeat the watch when another call has failed, as a short outage may hit only the watch; other calls come every 2 s.

--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -60,9 +60,10 @@
     /** Owners of keys that expire during an outage of the store write them again within this time
         after it recovers; until then the keys count as present. */
     duration expiryGracePeriod = std::chrono::milliseconds(2300);
-    /** How long one watch waits for a change. A watch that the store lost during an outage is only
-        detected at its end, so this bounds how long a host may miss changes afterwards. */
-    duration watchDuration = std::chrono::milliseconds(5500);
+    /** How long one watch waits for a change. A watch that the store took and lost in the last
+        moment of an outage is only detected at its end, and by then a host that counts as
+        undisturbed, 4 s after the outage, has to follow what was confirmed early on. */
+    duration watchDuration = std::chrono::milliseconds(2700);
     /** Pause after changes, so that one response of the next watch covers several of them: the
         store meters every call, and changes come in bursts. */
     duration watchPause = std::chrono::milliseconds(500);
--- a/standins/lib/platform_store.cpp
+++ b/standins/lib/platform_store.cpp
@@ -166,7 +166,7 @@
     const std::string path = target.substr(0, target.find('?'));
     if (m_mode == store_mode::Unavailable)
         return respond(*exchange, 503);
-    if (m_mode == store_mode::Unresponsive) {
+    if (m_mode == store_mode::Unresponsive || isToBeLost(path)) {
         m_unanswered.push_back(std::move(exchange));
         return;
     }
@@ -256,6 +256,25 @@
     return true;
 }
 
+bool platform_store::isToBeLost(std::string_view path)
+{
+    if (m_lostPathPrefix.empty() || !path.starts_with(m_lostPathPrefix))
+        return false;
+    if (m_callLostAt) {
+        m_lostCallRepeatedAt = m_lostCallRepeatedAt.value_or(m_clock.now());
+        return false;
+    }
+    m_callLostAt = m_clock.now();
+    return true;
+}
+
+std::optional<duration> platform_store::timeUntilLostCallWasRepeated() const
+{
+    if (!m_lostCallRepeatedAt)
+        return std::nullopt;
+    return *m_lostCallRepeatedAt - *m_callLostAt;
+}
+
 void platform_store::answerWatches()
 {
     if (m_mode == store_mode::Unresponsive || m_mode == store_mode::Unavailable)
--- a/standins/lib/platform_store.h
+++ b/standins/lib/platform_store.h
@@ -66,6 +66,18 @@
     */
     void restoreCopy(pending_watches watches = pending_watches::Close);
 
+    /** Makes the store take the next call of a path that begins like this and never answer it. */
+    void loseNextCall(std::string pathPrefix)
+    {
+        m_lostPathPrefix = std::move(pathPrefix);
+        m_callLostAt.reset();
+        m_lostCallRepeatedAt.reset();
+    }
+
+    /** Returns the time from the call that was lost to the next one of its path; nothing if there
+        was none yet. */
+    [[nodiscard]] std::optional<duration> timeUntilLostCallWasRepeated() const;
+
     /** Sets whether responses contain the era. */
     void setReportingEra(bool isReporting) { m_isReportingEra = isReporting; }
 
@@ -110,6 +122,8 @@
     struct waiting_watch;
 
     void serve(std::unique_ptr<http::caller_exchange> exchange);
+    /** Returns whether a call is to be lost, and records when lost calls are repeated. */
+    bool isToBeLost(std::string_view path);
     void serveRange(http::caller_exchange &exchange);
     void serveWatch(std::unique_ptr<http::caller_exchange> exchange);
     void serveTransaction(http::caller_exchange &exchange);
@@ -135,6 +149,9 @@
     bool m_isReportingEra = true;
     content m_copy;
     std::uint64_t m_callCount = 0;
+    std::string m_lostPathPrefix;
+    std::optional<time_point> m_callLostAt;
+    std::optional<time_point> m_lostCallRepeatedAt;
     std::size_t m_pageSize = 50;
     std::map<std::uint64_t, lease> m_leases;
     std::list<std::unique_ptr<waiting_watch>> m_watches;
--- a/tests/store_silence_test.cpp
+++ b/tests/store_silence_test.cpp
@@ -62,3 +62,30 @@
             " ms after the outage");
     }
 }
+
+TEST_CASE("a call that the store never answers is repeated before the host counts as undisturbed")
+{
+    struct row
+    {
+        std::string name;
+        std::string path;
+    };
+    const row rows[] = {
+        {"listing", "/kv-range"},        {"watch", "/kv-watch"},        {"lease", "/kv-lease"},
+        {"write of the key", "/kv-txn"}, {"lease renewal", "/kv-keep"},
+    };
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        single_host_fixture f;
+        f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
+        f.writeConfiguration(1, 0);
+        f.store.loseNextCall(testCase.path);
+        f.startHost(single_host_fixture::hostSettings());
+        f.runUntil([&] { return f.store.timeUntilLostCallWasRepeated().has_value(); }, 20s);
+        const duration repeatedAfter = *f.store.timeUntilLostCallWasRepeated();
+        MESSAGE(testCase.name, ": repeated after ",
+                std::chrono::duration_cast<std::chrono::milliseconds>(repeatedAfter).count(),
+                " ms");
+        CHECK(repeatedAfter <= contactTime);
+    }
+}
