--- a/scripts/platform-fleet.sh
+++ b/scripts/platform-fleet.sh
@@ -69,3 +69,26 @@
 is_ready() {
     send_request $((FLEET_PORT + 420 + $1)) GET / ready 2> /dev/null | grep -q ' 200 '
 }
+
+now_ms() { echo $(($(date +%s%N) / 1000000)); }
+
+# lists_members NUMBER COUNT: whether a host sees this many members.
+lists_members() {
+    send_request $((FLEET_PORT + 440 + $1)) GET /status state | grep -q "\"listed\":$2"
+}
+
+# start_relayed_fleet COUNT RELAYED: starts hosts 1 to COUNT and waits until they see one another.
+# The first ones are in one data centre and have a relay; the others watch the store themselves.
+start_relayed_fleet() {
+    local number
+    for number in $(seq 1 "$2"); do
+        start_platform_host "$number" riga-1
+    done
+    for number in $(seq $(($2 + 1)) "$1"); do
+        start_platform_host "$number"
+    done
+    for number in $(seq 1 "$1"); do
+        eventually lists_members "$number" "$1"
+        eventually is_ready "$number"
+    done
+}
--- a/tests/process/large_configuration_test.sh
+++ b/tests/process/large_configuration_test.sh
@@ -21,34 +21,19 @@
     exit 1
 }
 
-now_ms() { echo $(($(date +%s%N) / 1000000)); }
-
 # relayed_bytes NUMBER: prints how many bytes of changes a host has sent to other hosts.
 relayed_bytes() {
     send_request $((FLEET_PORT + 440 + $1)) GET /metrics metrics \
         | sed -n 's/^mustardcourse_relay_bytes_total //p' | xargs printf '%.0f'
 }
 
-lists_all_members() {
-    send_request $((FLEET_PORT + 440 + $1)) GET /status state | grep -q "\"listed\":$host_count"
-}
-
 # serves NUMBER PATH
 serves() {
     send_request "$(caller_port "$1")" GET "$2" "$RANDOM$RANDOM" | head -n 1 | grep -q ' 200 '
 }
 
 start_platform_standin
-for number in $(seq 1 $relayed_count); do
-    start_platform_host "$number" riga-1
-done
-for number in $(seq $((relayed_count + 1)) $host_count); do
-    start_platform_host "$number"
-done
-for number in $(seq 1 $host_count); do
-    eventually lists_all_members "$number"
-    eventually is_ready "$number"
-done
+start_relayed_fleet $host_count $relayed_count
 
 version=2
 for routes in 10 1400 4200; do
--- a/tests/process/store_restore_test.sh
+++ b/tests/process/store_restore_test.sh
@@ -21,8 +21,6 @@
     exit 1
 }
 
-now_ms() { echo $(($(date +%s%N) / 1000000)); }
-
 status_of() {
     send_request "$(caller_port "$1")" GET "$2" "$RANDOM$RANDOM" | head -n 1 | cut -d ' ' -f 2
 }
@@ -49,10 +47,6 @@
     done
 }
 
-lists_all_members() {
-    send_request $((FLEET_PORT + 440 + $1)) GET /status state | grep -q "\"listed\":$host_count"
-}
-
 # restore COMMAND VERSION: restores the store. Operators and targets write again what was lost, and
 # a newer configuration, as soon as hosts can call the store.
 restore() {
@@ -102,7 +96,7 @@
 done
 for number in $(seq 1 $host_count); do
     eventually is_ready "$number"
-    eventually lists_all_members "$number"
+    eventually lists_members "$number" $host_count
 done
 eventually grep -q 'event=relay-chosen relay=127' "$fleet_work"/platform-host-*.log
 
@@ -119,7 +113,7 @@
 restore restore-without-closing-watches 17
 restore_overtaken restore-without-closing-watches 23
 for number in $(seq 1 $host_count); do
-    eventually lists_all_members "$number"
+    eventually lists_members "$number" $host_count
 done
 touch "$fleet_work/stop-booking"
 wait "$booker"
--- a/tests/process/target_limit_test.sh
+++ b/tests/process/target_limit_test.sh
@@ -22,16 +22,10 @@
     exit 1
 }
 
-now_ms() { echo $(($(date +%s%N) / 1000000)); }
-
 arrivals_at() {
     send_request $((FLEET_PORT + 398)) POST "/target/$1/arrivals" control | tail -n 1
 }
 
-lists_all_members() {
-    send_request $((FLEET_PORT + 440 + $1)) GET /status state | grep -q "\"listed\":$host_count"
-}
-
 # send_lookups NUMBER: sends lookups over one kept connection at a time.
 send_lookups() {
     local number=$1 end=$(($(now_ms) + load_s * 1000)) sent=0
@@ -73,16 +67,7 @@
 }
 
 start_platform_standin --work_ms=2
-for number in $(seq 1 $relayed_count); do
-    start_platform_host "$number" riga-1
-done
-for number in $(seq $((relayed_count + 1)) $host_count); do
-    start_platform_host "$number"
-done
-for number in $(seq 1 $host_count); do
-    eventually lists_all_members "$number"
-    eventually is_ready "$number"
-done
+start_relayed_fleet $host_count $relayed_count
 
 for number in $(seq 1 $host_count); do
     send_lookups "$number" &
--- a/tests/remaining_time_test.cpp
+++ b/tests/remaining_time_test.cpp
@@ -158,9 +158,7 @@
     for (const row &testCase : rows) {
         CAPTURE(testCase.name);
         single_host_fixture f;
-        f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
-        f.writeConfiguration(1, 0);
-        f.startHost(single_host_fixture::hostSettings());
+        f.startHostWithOneRoute();
         std::optional<blocking_caller> caller;
         if (testCase.isConnectedBefore) {
             caller.emplace();
@@ -188,9 +186,7 @@
 TEST_CASE("a request whose deadline passes before it is read is refused and reaches no target")
 {
     single_host_fixture f;
-    f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
-    f.writeConfiguration(1, 0);
-    f.startHost(single_host_fixture::hostSettings());
+    f.startHostWithOneRoute();
     const blocking_caller caller;
     caller.send("GET /path-0/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n"
                 "X-Time-Budget-Ms: 400\r\n\r\n");
--- a/tests/single_host_fixture.h
+++ b/tests/single_host_fixture.h
@@ -54,6 +54,14 @@
         runUntil([&] { return get("/", readinessPort).status == 200; });
     }
 
+    /** Registers the target at its own address, and starts the host with one route to it. */
+    void startHostWithOneRoute()
+    {
+        registerTarget(local(targetPort));
+        writeConfiguration(1, 0);
+        startHost(hostSettings());
+    }
+
     /** Registers the target at an address in front of it. */
     void registerTarget(const endpoint &address)
     {
--- a/tests/store_silence_test.cpp
+++ b/tests/store_silence_test.cpp
@@ -39,9 +39,7 @@
     for (const row &testCase : rows) {
         CAPTURE(testCase.name);
         single_host_fixture f;
-        f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
-        f.writeConfiguration(1, 0);
-        f.startHost(single_host_fixture::hostSettings());
+        f.startHostWithOneRoute();
         f.runFor(2500ms);
         // After this change the host watches again in 500 ms.
         f.store.put("servers/i-other", "{}");
@@ -77,10 +75,8 @@
     for (const row &testCase : rows) {
         CAPTURE(testCase.name);
         single_host_fixture f;
-        f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
-        f.writeConfiguration(1, 0);
         f.store.loseNextCall(testCase.path);
-        f.startHost(single_host_fixture::hostSettings());
+        f.startHostWithOneRoute();
         f.runUntil([&] { return f.store.timeUntilLostCallWasRepeated().has_value(); }, 20s);
         const duration repeatedAfter = *f.store.timeUntilLostCallWasRepeated();
         MESSAGE(testCase.name, ": repeated after ",
