Turns at cold targets are lost if they are not used soon

What targets could see: many hosts that were idle and get requests at the same moment send a cold target one request each, whatever its rate.

Cause: each host kept the right to one request for as long as it was idle. The class is that of the limits which targets name, a limit over all hosts that each keeps for itself, found by looking for it elsewhere. The rate of a cold target now uses the same turns, with a lifetime of 0.5 s, as the bound is one and a half times the rate and five requests in a second.

Measured: "a cold target gets at most its rate from hosts that were idle" failed before (67 requests in a second at a rate of 10, allowed 20) and passes; the former test of cold targets passes unchanged.

--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -155,15 +155,14 @@
     /**
         Returns whether this host may send one more request now; always true unless it is cold.
 
-        Hosts do not coordinate this: each sends at most one request per interval, which is chosen
-        so that all hosts together reach the rate that the target can take. In any second the total
-        is at most that rate plus one request per host.
+        Each host sends in turns of its own, so that all hosts together reach the rate that the
+        target can take. @see limits::shared_rate
 
         @param requestsPerSecond  maximum rate of a cold target from all hosts; no limit if zero
         @param memberCount        number of hosts that share the rate; at least one
     */
     [[nodiscard]] bool maySendWhileCold(double requestsPerSecond, std::size_t memberCount,
-                                        time_point now) const;
+                                        time_point now);
 
 private:
     [[nodiscard]] double occupancy(duration typicalLatency, time_point now) const;
@@ -187,10 +186,10 @@
     reported_load m_reportedLoad;
     time_point m_loadReportedAt;
     time_point m_lastSentAt;
-    time_point m_coldSince;
     /** Differs between hosts, so that they do not all send at the same moment. */
     std::uint32_t m_phase = 0;
     limits::shared_rate m_limitTurns;
+    limits::shared_rate m_coldTurns;
 };
 
 /** Criteria for choosing the target of one request. */
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -38,6 +38,8 @@
 /** Share of a requested pause over which the returns of the hosts are spread, and its maximum. */
 constexpr double returnSpread = 0.2;
 constexpr milliseconds maximumReturnSpread{500};
+/** Time for which a host can use its turn at a cold target. */
+constexpr milliseconds coldTurnLifetime{500};
 /** Time for which a host can use its turn at a target that has named a limit. */
 constexpr milliseconds limitTurnLifetime{1250};
 /** Rate for all hosts together at which a target that takes less than this is tried, as only its
@@ -61,9 +63,9 @@
     , m_slownessUpdatedAt(now)
     , m_loadReportedAt(now - maximumLoadLifetime)
     , m_lastSentAt(now - probeInterval)
-    , m_coldSince(now)
     , m_phase(phase)
     , m_limitTurns(0, limitTurnLifetime, now)
+    , m_coldTurns(relativePhase(), coldTurnLifetime, now)
 { }
 
 void target::update(target_registration registration, time_point now)
@@ -75,7 +77,7 @@
         return;
     }
     if (!isCold(now))
-        m_coldSince = now;
+        m_coldTurns = limits::shared_rate(relativePhase(), coldTurnLifetime, now);
     m_coldUntil = now + registration.remainingColdTime;
     m_registration = std::move(registration);
 }
@@ -85,6 +87,7 @@
     m_sendTimes.push_back(now);
     m_lastSentAt = now;
     m_limitTurns.recordSent();
+    m_coldTurns.recordSent();
 }
 
 void target::recordOutcome(target_observation observation, time_point sentAt, time_point now,
@@ -228,16 +231,10 @@
     return isProbe || expectedLatency(typicalLatency, now) <= limit;
 }
 
-bool target::maySendWhileCold(double requestsPerSecond, std::size_t memberCount,
-                              time_point now) const
+bool target::maySendWhileCold(double requestsPerSecond, std::size_t memberCount, time_point now)
 {
-    if (requestsPerSecond <= 0 || !isCold(now))
-        return true;
-    const std::chrono::duration<double> interval(static_cast<double>(memberCount)
-                                                 / requestsPerSecond);
-    // Hosts that learn of a cold target at the same moment must not all send to it at once.
-    const bool hasPhaseElapsed = now - m_coldSince >= relativePhase() * interval;
-    return hasPhaseElapsed && now - m_lastSentAt >= interval;
+    return requestsPerSecond <= 0 || !isCold(now)
+        || m_coldTurns.timeUntilTurn({requestsPerSecond, memberCount}, now) == duration::zero();
 }
 
 target_directory::target_directory(const clock &clock, placement_parameters placement)
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -58,6 +58,33 @@
     }
 };
 
+/** Returns the highest number of events in any time window. */
+std::size_t mostWithin(duration window, const std::vector<time_point> &events)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < events.size(); ++last) {
+        while (events[last] - events[first] >= window)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+/** Returns hosts that have just learned of the same cold target, "a". */
+std::vector<std::unique_ptr<target_directory>> hostsWithColdTarget(const manual_clock &time,
+                                                                   std::size_t count)
+{
+    std::vector<std::unique_ptr<target_directory>> hosts;
+    for (std::size_t i = 0; i < count; ++i) {
+        hosts.push_back(std::make_unique<target_directory>(
+            time, placement_parameters{riga, 8ms, host_id("host-" + std::to_string(i))}));
+        target_registration cold = makeRegistration("a");
+        cold.remainingColdTime = 60s;
+        hosts.back()->update(cold);
+    }
+    return hosts;
+}
+
 } // namespace
 
 TEST_CASE("which reports of a target are applied")
@@ -290,14 +317,7 @@
     for (const row &item : rows) {
         CAPTURE(item.name);
         manual_clock time;
-        std::vector<std::unique_ptr<target_directory>> hosts;
-        for (std::size_t i = 0; i < item.hosts; ++i) {
-            hosts.push_back(std::make_unique<target_directory>(
-                time, placement_parameters{riga, 8ms, host_id("host-" + std::to_string(i))}));
-            target_registration cold = makeRegistration("a");
-            cold.remainingColdTime = 60s;
-            hosts.back()->update(cold);
-        }
+        const auto hosts = hostsWithColdTarget(time, item.hosts);
         std::vector<time_point> sendTimes;
         for (int step = 0; step < 4000; ++step) {
             for (const auto &host : hosts) {
@@ -309,12 +329,7 @@
             }
             time.advance(5ms);
         }
-        std::size_t maximumInWindow = 0;
-        for (std::size_t first = 0, last = 0; last < sendTimes.size(); ++last) {
-            while (sendTimes[last] - sendTimes[first] >= 1s)
-                ++first;
-            maximumInWindow = std::max(maximumInWindow, last - first + 1);
-        }
+        const std::size_t maximumInWindow = mostWithin(1s, sendTimes);
         CHECK(double(maximumInWindow) <= item.rate + double(item.hosts));
         // The platform's bound is one and a half times the rate plus five requests.
         CHECK(double(maximumInWindow) <= 1.5 * item.rate + 5);
@@ -322,6 +337,31 @@
     }
 }
 
+TEST_CASE("a cold target gets at most its rate from hosts that were idle")
+{
+    constexpr double rate = 10;
+    for (const std::size_t hostCount : {std::size_t{7}, std::size_t{20}, std::size_t{67}}) {
+        CAPTURE(hostCount);
+        manual_clock time;
+        const auto hosts = hostsWithColdTarget(time, hostCount);
+        // Longer than a host waits between two requests.
+        time.advance(8s);
+        std::vector<time_point> sendTimes;
+        for (int step = 0; step < 1000; ++step) {
+            for (const auto &host : hosts) {
+                target *found = host->find(instance_id("a"));
+                if (!found->maySendWhileCold(rate, hostCount, time.now()))
+                    continue;
+                found->recordSent(time.now());
+                sendTimes.push_back(time.now());
+            }
+            time.advance(5ms);
+        }
+        // The platform's bound is one and a half times the rate plus five requests.
+        CHECK(double(mostWithin(1s, sendTimes)) <= 1.5 * rate + 5);
+    }
+}
+
 TEST_CASE("a target gets at most what the limit that it has named allows in any four seconds")
 {
     enum class change { None, AllLearnAtOnce, IdleThenBusy, HostsJoin, LimitVaries };
@@ -390,12 +430,7 @@
             }
             time.advance(step);
         }
-        std::size_t maximumInWindow = 0;
-        for (std::size_t first = 0, last = 0; last < sendTimes.size(); ++last) {
-            while (sendTimes[last] - sendTimes[first] >= 4s)
-                ++first;
-            maximumInWindow = std::max(maximumInWindow, last - first + 1);
-        }
+        const std::size_t maximumInWindow = mostWithin(4s, sendTimes);
         // The platform's bound is one and a half times the limit plus five requests.
         CHECK(double(maximumInWindow) <= 1.5 * item.limit * 4 + 5);
         // Hosts with enough requests use the limit.
