--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -461,6 +461,35 @@
     CHECK(subject.timeUntilTurn(7, time.now()) == duration::zero());
 }
 
+TEST_CASE("hosts that start together and know few others yet retry within the shared limit")
+{
+    struct row
+    {
+        std::string name;
+        std::size_t hosts;
+        std::size_t assumedMembers;
+        shared_retry_limits limits;
+    };
+    const row rows[] = {
+        {"seven hosts", 7, 8, {0.2, 54}},
+        {"sixty hosts", 60, 8, {0.2, 160}},
+        {"sixty hosts that have listed a part", 60, 20, {0.2, 160}},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        std::size_t retries = 0;
+        for (std::size_t host = 0; host < item.hosts; ++host) {
+            retry_budgets budgets(item.limits);
+            budgets.setMemberCount(item.assumedMembers);
+            while (budgets.of(bids).trySpend())
+                ++retries;
+        }
+        CHECK(double(retries) <= item.limits.extraPerWindow);
+        // Each host can retry once.
+        CHECK(retries >= item.hosts);
+    }
+}
+
 TEST_CASE("the retries of all hosts stay within the shared limit in every window")
 {
     CHECK_PROPERTY("budgets", [](const std::vector<std::uint8_t> &events) {
