A wait counts as one from two milliseconds on

libuv may measure waits with a coarse clock, whose resolution is a millisecond on some kernels; a wait that found its events there could then seem to have lasted a millisecond, and a request that waited in the socket would count from its reading. By reading of libuv's source; not seen in a run. The tests of deadlines pass unchanged.

--- a/modules/net/loop.cpp
+++ b/modules/net/loop.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/** A wait for events that is shorter than this found them waiting. */
-constexpr std::chrono::milliseconds minimumWait{1};
+/** A wait for events that is shorter than this found them waiting. libuv may measure waits with a
+    resolution of a millisecond. */
+constexpr std::chrono::milliseconds minimumWait{2};
 /** Size of one read; a complete response of a target fits. */
 constexpr std::size_t readBufferSize = 64 * 1024;
 
