A timer that is late reads what has arrived before it expires

What callers could see: after a long turn of the loop an answer that had arrived in time was given up, as the timer of its request ran before it was read.

Cause: libuv runs due timers before it looks for events. The class is that of the deadlines: a decision by the clock while time in the queue in front of the process isn't counted. A timer that expires more than 5 ms late waits for another millisecond, in which the loop reads.

Measured: "a timer that is late expires after data that arrived before its time was read" failed before and passes; the tests of deadlines pass unchanged.

--- a/include/mustardcourse/net/loop.h
+++ b/include/mustardcourse/net/loop.h
@@ -70,7 +70,12 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-/** A one-shot timer. Destroying it cancels the call of its handler. */
+/**
+    A one-shot timer. Destroying it cancels the call of its handler.
+
+    If the timer expires late, as the loop was busy or the process was stopped, the loop first reads
+    what has arrived meanwhile: a handler that gives something up must not do so while it is there.
+*/
 class timer
 {
 public:
--- a/modules/net/loop.cpp
+++ b/modules/net/loop.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <list>
+#include <utility>
 
 namespace mustardcourse::net {
 
@@ -12,6 +13,10 @@
 /** A wait for events that is shorter than this found them waiting. libuv may measure waits with a
     resolution of a millisecond. */
 constexpr std::chrono::milliseconds minimumWait{2};
+/** Time after which a timer that has not expired is late. */
+constexpr std::chrono::milliseconds toleratedTimerDelay{5};
+/** Further delay of a timer that is late, within which the loop reads what has arrived. */
+constexpr std::uint64_t lateTimerDelayMilliseconds = 1;
 /** Size of one read; a complete response of a target fits. */
 constexpr std::size_t readBufferSize = 64 * 1024;
 
@@ -142,7 +147,27 @@
 struct timer::implementation
 {
     uv_timer_t handle{};
+    time_point dueAt;
+    bool hasBeenDelayed = false;
     std::function<void()> handler;
+
+    void start(std::uint64_t delayMilliseconds)
+    {
+        uv_timer_start(
+            &handle,
+            [](uv_timer_t *expired) { static_cast<implementation *>(expired->data)->expire(); },
+            delayMilliseconds, 0);
+    }
+
+    void expire()
+    {
+        const bool isLate = std::chrono::steady_clock::now() - dueAt > toleratedTimerDelay;
+        if (isLate && !std::exchange(hasBeenDelayed, true))
+            return start(lateTimerDelayMilliseconds);
+        // The handler may destroy the timer and itself with it, so a copy is called.
+        const auto handlerCopy = handler;
+        handlerCopy();
+    }
 };
 
 timer::timer(loop &loop, std::function<void()> handler)
@@ -167,14 +192,9 @@
         std::chrono::ceil<milliseconds>(std::max(delay, duration::zero()));
     // libuv counts from its cached time, which lags behind during a long loop iteration.
     uv_update_time(m_implementation->handle.loop);
-    uv_timer_start(
-        &m_implementation->handle,
-        [](uv_timer_t *handle) {
-            // The handler may destroy the timer and itself with it, so a copy is called.
-            const auto handlerCopy = static_cast<implementation *>(handle->data)->handler;
-            handlerCopy();
-        },
-        static_cast<std::uint64_t>(delayMilliseconds.count()), 0);
+    m_implementation->dueAt = std::chrono::steady_clock::now() + delayMilliseconds;
+    m_implementation->hasBeenDelayed = false;
+    m_implementation->start(static_cast<std::uint64_t>(delayMilliseconds.count()));
 }
 
 void timer::stop()
