A host starts with two retries at most instead of one

What callers saw since: a host that has just started left out a shard whose first target is silent, as hedges keep one attempt back and it had no second one. Load wasn't the cause.

Two attempts are enough for that hedge and keep the sum of hosts that start together: 120 of 160 with sixty hosts.

--- a/modules/serving/retry_budgets.cpp
+++ b/modules/serving/retry_budgets.cpp
@@ -1,5 +1,7 @@
 #include <mustardcourse/serving/retry_budgets.h>
 
+#include <algorithm>
+
 namespace mustardcourse::serving {
 
 namespace {
@@ -7,9 +9,13 @@
 /** Fraction of the shared constant that is spent, so that the limit holds while hosts briefly
    disagree on the members. What requests earn needs no such margin: each host counts its own. */
 constexpr double spendableFraction = 0.8;
-/** Attempts that a host starts with. It may have spent its share before a restart, and hosts that
-    start together don't know yet how many they are. */
-constexpr double initialAttempts = 1;
+/** Fraction of the reserve that a host starts with; a restarted host may have spent the rest. */
+constexpr double initialFraction = 0.25;
+/** Minimum number of attempts at the start, so that a host with a small share can retry at all. */
+constexpr double minimumInitialAttempts = 1;
+/** Maximum number of attempts at the start, as hosts that start together don't know yet how many
+    they are. Hedges keep one back, so with fewer a host could not hedge its first request. */
+constexpr double maximumInitialAttempts = 2;
 
 } // namespace
 
@@ -41,7 +47,9 @@
     const auto found = m_budgets.find(service);
     if (found != m_budgets.end())
         return found->second;
-    limits::retry_budget budget(m_sharedLimits.ratioPerRequest, reserve(), initialAttempts);
+    const double initial =
+        std::clamp(initialFraction * reserve(), minimumInitialAttempts, maximumInitialAttempts);
+    limits::retry_budget budget(m_sharedLimits.ratioPerRequest, reserve(), initial);
     return m_budgets.emplace(service, budget).first->second;
 }
 
