--- /dev/null
+++ b/tests/blocking_connection.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace mustardcourse::tests {
+
+/** Returns the address of a port on loopback. */
+inline sockaddr_in loopbackAddress(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/** A connection whose opening and data the kernel accepts while the peer's event loop does not run.
+ */
+class blocking_connection
+{
+public:
+    explicit blocking_connection(std::uint16_t port)
+        : m_descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const sockaddr_in address = loopbackAddress(port);
+        const auto *genericAddress = reinterpret_cast<const sockaddr *>(&address);
+        REQUIRE(::connect(m_descriptor, genericAddress, sizeof(address)) == 0);
+    }
+    ~blocking_connection() { ::close(m_descriptor); }
+    blocking_connection(const blocking_connection &) = delete;
+    blocking_connection &operator=(const blocking_connection &) = delete;
+
+    void send(std::string_view bytes) const
+    {
+        REQUIRE(::send(m_descriptor, bytes.data(), bytes.size(), 0)
+                == static_cast<ssize_t>(bytes.size()));
+    }
+
+    /** Returns the first bytes that have arrived. */
+    [[nodiscard]] std::string receive() const
+    {
+        std::string buffer(4096, '\0');
+        const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        buffer.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+        return buffer;
+    }
+
+private:
+    int m_descriptor;
+};
+
+} // namespace mustardcourse::tests
--- a/tests/remaining_time_test.cpp
+++ b/tests/remaining_time_test.cpp
@@ -1,12 +1,9 @@
 // Guards against targets that are told more time than a caller has left, as the time was counted
 // from a later moment than the request's arrival, or computed long before the request was sent.
 
+#include "blocking_connection.h"
 #include "single_host_fixture.h"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <thread>
 
 using namespace mustardcourse;
@@ -18,50 +15,6 @@
 /** Time for which an event loop is blocked or a connection is delayed. */
 constexpr duration delay = 800ms;
 
-sockaddr_in socketAddress(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
-/** A caller whose requests the kernel accepts while the event loop does not run. */
-class blocking_caller
-{
-public:
-    blocking_caller()
-        : m_descriptor(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const sockaddr_in address = socketAddress(single_host_fixture::callerPort);
-        REQUIRE(
-            ::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
-            == 0);
-    }
-    ~blocking_caller() { ::close(m_descriptor); }
-    blocking_caller(const blocking_caller &) = delete;
-    blocking_caller &operator=(const blocking_caller &) = delete;
-
-    /** Returns the first bytes of a response that has arrived. */
-    [[nodiscard]] std::string receive() const
-    {
-        std::string buffer(4096, '\0');
-        const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
-        buffer.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
-        return buffer;
-    }
-
-    void send(std::string_view bytes) const
-    {
-        REQUIRE(::send(m_descriptor, bytes.data(), bytes.size(), 0)
-                == static_cast<ssize_t>(bytes.size()));
-    }
-
-private:
-    int m_descriptor;
-};
-
 /** A target's address where the kernel drops the opening packets of connections for a while. */
 class congested_listener
 {
@@ -71,7 +24,7 @@
     {
         const int on = 1;
         ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        const sockaddr_in address = socketAddress(port);
+        const sockaddr_in address = tests::loopbackAddress(port);
         const auto *genericAddress = reinterpret_cast<const sockaddr *>(&address);
         REQUIRE(::bind(m_listener, genericAddress, sizeof(address)) == 0);
         REQUIRE(::listen(m_listener, 0) == 0);
@@ -120,7 +73,7 @@
     f.registerTarget(single_host_fixture::local(single_host_fixture::freePort));
     f.writeConfiguration(1, 0);
     f.startHost(single_host_fixture::hostSettings());
-    const blocking_caller caller;
+    const tests::blocking_connection caller(single_host_fixture::callerPort);
     const time_point sentAt = f.time.now();
     caller.send(single_host_fixture::callerRequest());
     f.runFor(delay);
@@ -159,9 +112,9 @@
         CAPTURE(testCase.name);
         single_host_fixture f;
         f.startHostWithOneRoute();
-        std::optional<blocking_caller> caller;
+        std::optional<tests::blocking_connection> caller;
         if (testCase.isConnectedBefore) {
-            caller.emplace();
+            caller.emplace(single_host_fixture::callerPort);
             f.runFor(50ms);
         }
         const time_point sentAt = f.time.now();
@@ -170,7 +123,7 @@
             f.runFor(20ms);
         }
         if (!caller)
-            caller.emplace();
+            caller.emplace(single_host_fixture::callerPort);
         caller->send(testCase.during);
         // The loop does not run meanwhile.
         std::this_thread::sleep_for(delay);
@@ -187,7 +140,7 @@
 {
     single_host_fixture f;
     f.startHostWithOneRoute();
-    const blocking_caller caller;
+    const tests::blocking_connection caller(single_host_fixture::callerPort);
     caller.send("GET /path-0/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n"
                 "X-Time-Budget-Ms: 400\r\n\r\n");
     std::this_thread::sleep_for(delay);
