Late timers expire in their order, after two reads of the loop

What callers could see: timers overtook one another. A timer that was more than 5 ms late waited for another millisecond, and one that was due later and less late ran before it. Besides, what had arrived on a connection that wasn't accepted yet could still be unread.

A turn of more than 5 ms, usual in the sanitized build, made the hosts' timers late; the fixture's stop timer, started later, overtook them, so that the hosts did not go on and the property failed. Shrinking 4,000 steps with a failure that comes and goes then took longer than the test's time limit.

Change: late timers, and timers that expire while others wait, wait in one queue. The loop polls twice without waiting, the second time for connections that it has accepted the first time; then they expire in the order in which they were due.

--- a/include/mustardcourse/net/loop.h
+++ b/include/mustardcourse/net/loop.h
@@ -66,15 +66,19 @@
     [[nodiscard]] std::vector<char> &readBuffer() noexcept;
 
 private:
+    friend class timer;
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
 };
 
+class late_timers;
+
 /**
     A one-shot timer. Destroying it cancels the call of its handler.
 
     If the timer expires late, as the loop was busy or the process was stopped, the loop first reads
     what has arrived meanwhile: a handler that gives something up must not do so while it is there.
+    Timers of one loop expire in the order in which they are due.
 */
 class timer
 {
@@ -91,6 +95,7 @@
     void stop();
 
 private:
+    friend class late_timers;
     struct implementation;
     implementation *m_implementation;
 };
--- a/modules/net/loop.cpp
+++ b/modules/net/loop.cpp
@@ -2,8 +2,11 @@
 
 #include <uv.h>
 
+#include <algorithm>
 #include <csignal>
+#include <deque>
 #include <list>
+#include <optional>
 #include <utility>
 
 namespace mustardcourse::net {
@@ -15,8 +18,9 @@
 constexpr std::chrono::milliseconds minimumWait{2};
 /** Time after which a timer that has not expired is late. */
 constexpr std::chrono::milliseconds toleratedTimerDelay{5};
-/** Further delay of a timer that is late, within which the loop reads what has arrived. */
-constexpr std::uint64_t lateTimerDelayMilliseconds = 1;
+/** Number of times that the loop reads before late timers expire. The second time, it reads what
+   has arrived on connections that it has accepted the first time. */
+constexpr int readsBeforeLateTimers = 2;
 /** Size of one read; a complete response of a target fits. */
 constexpr std::size_t readBufferSize = 64 * 1024;
 
@@ -28,11 +32,93 @@
 
 } // namespace
 
+struct timer::implementation
+{
+    explicit implementation(late_timers &lateTimers)
+        : queue(lateTimers)
+    { }
+
+    void start(duration delay);
+    void stop();
+    void expire();
+
+    late_timers &queue;
+    uv_timer_t handle{};
+    time_point dueAt;
+    std::function<void()> handler;
+};
+
+/**
+    Timers that wait until the loop has read what had arrived before they expired.
+
+    libuv calls the timers that are due before it looks for events.
+*/
+class late_timers
+{
+public:
+    explicit late_timers(uv_loop_t &uv)
+    {
+        uv_idle_init(&uv, &m_noWait);
+        uv_check_init(&uv, &m_readEnd);
+        m_readEnd.data = this;
+    }
+
+    void close()
+    {
+        uv_close(reinterpret_cast<uv_handle_t *>(&m_noWait), nullptr);
+        uv_close(reinterpret_cast<uv_handle_t *>(&m_readEnd), nullptr);
+    }
+
+    /** Returns whether a timer has to wait: as it is late, or as others do that were due before. */
+    [[nodiscard]] bool mustWait(const timer::implementation &expired) const
+    {
+        const duration delay = std::chrono::steady_clock::now() - expired.dueAt;
+        return !m_timers.empty() || delay > toleratedTimerDelay;
+    }
+
+    void add(timer::implementation &expired)
+    {
+        m_timers.push_back(&expired);
+        if (m_timers.size() > 1)
+            return;
+        m_remainingReads = readsBeforeLateTimers;
+        // The loop does not wait for events while an idle handle is active.
+        uv_idle_start(&m_noWait, [](uv_idle_t *) {});
+        uv_check_start(&m_readEnd, [](uv_check_t *handle) {
+            static_cast<late_timers *>(handle->data)->onReadEnd();
+        });
+    }
+
+    void remove(timer::implementation &stopped) { std::erase(m_timers, &stopped); }
+
+private:
+    void onReadEnd()
+    {
+        if (--m_remainingReads > 0)
+            return;
+        uv_idle_stop(&m_noWait);
+        uv_check_stop(&m_readEnd);
+        // A handler may stop, restart or destroy any timer.
+        while (!m_timers.empty()) {
+            timer::implementation &next = *m_timers.front();
+            m_timers.pop_front();
+            const auto handlerCopy = next.handler;
+            handlerCopy();
+        }
+    }
+
+    uv_idle_t m_noWait{};
+    uv_check_t m_readEnd{};
+    std::deque<timer::implementation *> m_timers;
+    int m_remainingReads = 0;
+};
+
 struct loop::implementation
 {
     uv_loop_t uv{};
     std::vector<char> buffer = std::vector<char>(readBufferSize);
     std::list<signal_registration> signals;
+    std::optional<late_timers> lateTimers;
     uv_prepare_t waitBegin{};
     /** When the latest wait for events began. */
     time_point waitBeganAt = std::chrono::steady_clock::now();
@@ -77,6 +163,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     uv_loop_init(&m_implementation->uv);
+    m_implementation->lateTimers.emplace(m_implementation->uv);
     m_implementation->startWaitHandle();
 }
 
@@ -85,6 +172,7 @@
     for (signal_registration &registration : m_implementation->signals)
         uv_close(reinterpret_cast<uv_handle_t *>(&registration.handle), nullptr);
     uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->waitBegin), nullptr);
+    m_implementation->lateTimers->close();
     // Handles are closed in a loop iteration, so all users must have closed theirs before this one.
     uv_run(&m_implementation->uv, UV_RUN_NOWAIT);
     uv_loop_close(&m_implementation->uv);
@@ -144,34 +232,38 @@
     return m_implementation->buffer;
 }
 
-struct timer::implementation
+void timer::implementation::start(duration delay)
 {
-    uv_timer_t handle{};
-    time_point dueAt;
-    bool hasBeenDelayed = false;
-    std::function<void()> handler;
+    using std::chrono::milliseconds;
+    stop();
+    const auto delayMilliseconds =
+        std::chrono::ceil<milliseconds>(std::max(delay, duration::zero()));
+    // libuv counts from its cached time, which lags behind during a long loop iteration.
+    uv_update_time(handle.loop);
+    dueAt = std::chrono::steady_clock::now() + delayMilliseconds;
+    uv_timer_start(
+        &handle,
+        [](uv_timer_t *expired) { static_cast<implementation *>(expired->data)->expire(); },
+        static_cast<std::uint64_t>(delayMilliseconds.count()), 0);
+}
 
-    void start(std::uint64_t delayMilliseconds)
-    {
-        uv_timer_start(
-            &handle,
-            [](uv_timer_t *expired) { static_cast<implementation *>(expired->data)->expire(); },
-            delayMilliseconds, 0);
-    }
+void timer::implementation::stop()
+{
+    uv_timer_stop(&handle);
+    queue.remove(*this);
+}
 
-    void expire()
-    {
-        const bool isLate = std::chrono::steady_clock::now() - dueAt > toleratedTimerDelay;
-        if (isLate && !std::exchange(hasBeenDelayed, true))
-            return start(lateTimerDelayMilliseconds);
-        // The handler may destroy the timer and itself with it, so a copy is called.
-        const auto handlerCopy = handler;
-        handlerCopy();
-    }
-};
+void timer::implementation::expire()
+{
+    if (queue.mustWait(*this))
+        return queue.add(*this);
+    // The handler may destroy the timer and itself with it, so a copy is called.
+    const auto handlerCopy = handler;
+    handlerCopy();
+}
 
 timer::timer(loop &loop, std::function<void()> handler)
-    : m_implementation(new implementation)
+    : m_implementation(new implementation(*loop.m_implementation->lateTimers))
 {
     m_implementation->handler = std::move(handler);
     uv_timer_init(loop.handle(), &m_implementation->handle);
@@ -180,26 +272,19 @@
 
 timer::~timer()
 {
-    uv_timer_stop(&m_implementation->handle);
+    m_implementation->stop();
     uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->handle),
              [](uv_handle_t *handle) { delete static_cast<implementation *>(handle->data); });
 }
 
 void timer::start(duration delay)
 {
-    using std::chrono::milliseconds;
-    const auto delayMilliseconds =
-        std::chrono::ceil<milliseconds>(std::max(delay, duration::zero()));
-    // libuv counts from its cached time, which lags behind during a long loop iteration.
-    uv_update_time(m_implementation->handle.loop);
-    m_implementation->dueAt = std::chrono::steady_clock::now() + delayMilliseconds;
-    m_implementation->hasBeenDelayed = false;
-    m_implementation->start(static_cast<std::uint64_t>(delayMilliseconds.count()));
+    m_implementation->start(delay);
 }
 
 void timer::stop()
 {
-    uv_timer_stop(&m_implementation->handle);
+    m_implementation->stop();
 }
 
 } // namespace mustardcourse::net
