The repartition test leaves out lookups during which the whole process was stopped

Traced: with stops of the process by signal, of 100 ms and more, the test failed in 6 runs of 6, each time with lookups that were running at the stop; none of 2 runs with 50 ms failed, nor any of 25 without stops beside a build. The host's log gives no-room as the reason after 109 to 110 ms: a request waits for capacity for a quarter of its objective, and the stop has used that up. Answers say so (two parts, one missing), and the route allows them, so the case is allowed.

The check now excuses a lookup only if the process was stopped for more than a quarter of its objective while it ran (tests/stopped_time.h, as in the refusal test).

--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -761,21 +761,30 @@
     std::size_t answeredCount = 0;
     std::size_t interruptedCount = 0;
     std::size_t unreachedCount = 0;
-    std::vector<std::string> partStamps;
+
+    struct received_answer
+    {
+        time_point sentAt;
+        time_point receivedAt;
+        std::string partStamps;
+    };
+    std::vector<received_answer> answers;
 
 private:
     void sendNext()
     {
+        const time_point sentAt = m_fixture.time.now();
         http::exchange_request request;
         request.bytes = fmt::format("GET /all/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {}-{}\r\n"
                                     "X-Time-Budget-Ms: 800\r\n\r\n",
                                     m_name, ++m_sent);
-        request.onEnd = [this](http::exchange_result &&exchangeResult) {
+        request.onEnd = [this, sentAt](http::exchange_result &&exchangeResult) {
             answeredCount += exchangeResult.answer.status == 200 ? 1 : 0;
             interruptedCount += exchangeResult.end == http::exchange_end::Lost ? 1 : 0;
             unreachedCount += exchangeResult.end == http::exchange_end::NotSent ? 1 : 0;
             if (exchangeResult.answer.status == 200)
-                partStamps.push_back(headerOf(exchangeResult.answer, "X-Part-Stamps"));
+                answers.push_back({sentAt, m_fixture.time.now(),
+                                   headerOf(exchangeResult.answer, "X-Part-Stamps")});
             if (exchangeResult.end == http::exchange_end::NotSent || m_isStopped)
                 return;
             m_next.start(3ms);
@@ -818,7 +827,11 @@
 TEST_CASE(
     "a repartition under load mixes no answers of two configurations and every lookup is complete")
 {
+    // A request waits for capacity for this portion of its objective. If the whole process was
+    // stopped for that long, the answer may lack a shard.
+    constexpr duration toleratedStop = latencyObjective / 4;
     platform_fixture f;
+    tests::stopped_time stops;
     std::vector<std::unique_ptr<standins::platform_target>> newTargets;
     for (std::uint16_t i = 0; i < 3; ++i) {
         newTargets.push_back(std::make_unique<standins::platform_target>(
@@ -844,15 +857,19 @@
     std::size_t newAnswerCount = 0;
     for (const auto &caller : callers) {
         CHECK(caller->interruptedCount == 0);
-        CHECK(caller->answeredCount + 1 >= caller->partStamps.size());
-        for (const std::string &stamps : caller->partStamps) {
+        CHECK(caller->answeredCount + 1 >= caller->answers.size());
+        for (const auto &answer : caller->answers) {
+            const std::string &stamps = answer.partStamps;
             const auto oldParts = std::count(stamps.begin(), stamps.end(), 'i');
             const auto newParts = std::count(stamps.begin(), stamps.end(), 'n');
             CAPTURE(stamps);
             CHECK((oldParts == 0 || newParts == 0));
             oldAnswerCount += oldParts > 0 ? 1 : 0;
             newAnswerCount += newParts > 0 ? 1 : 0;
-            CHECK(std::count(stamps.begin(), stamps.end(), ',') == (oldParts > 0 ? 1 : 2));
+            const duration stopped = stops.within(answer.sentAt, answer.receivedAt);
+            CAPTURE(stopped.count());
+            const auto separators = std::count(stamps.begin(), stamps.end(), ',');
+            CHECK((separators == (oldParts > 0 ? 1 : 2) || stopped > toleratedStop));
         }
     }
     CHECK(oldAnswerCount > 100);
