A host that has just started takes almost no share of rates until it knows the others

What a target would see: hosts that start together, or that start while a restored store lacks the others' keys, send a cold target far more than its rate. 67 hosts sent 79 requests in a second at a rate of 10, allowed are 20; 300 hosts sent 360; a third of 67 hosts that restarts 29.

Cause: a rate is divided by the number of hosts that this host knows, at least 8 in its first seconds. The class is that of the limits that targets name: a limit over all hosts without anyone who counts it, while hosts learn of one another one by one.

Change: member_estimate gives two counts. What a host may save up (retries, connections) is divided as before.

--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -44,6 +44,16 @@
     duration maximumNonIdempotentIdleTime = std::chrono::seconds(1);
 };
 
+/** Numbers of hosts, each at least one, among which common limits are divided.
+    @see membership::member_estimate */
+struct member_counts
+{
+    /** For what a host may save up: retries and connections. */
+    std::size_t forReserves = 1;
+    /** For rates of requests that hold in every second or few. */
+    std::size_t forRates = 1;
+};
+
 /** The objects that the request path uses. */
 struct query_environment
 {
@@ -83,8 +93,8 @@
     /** Starts serving. Requests that arrive earlier are held for a short time. */
     void open();
 
-    /** Sets how many hosts share the limits. Precondition: at least one. */
-    void setMemberCount(std::size_t count);
+    /** Sets how many hosts share the limits. */
+    void setMemberCounts(const member_counts &counts);
 
     /** Sets the settings for requests that start from now on. */
     void setSettings(const query_settings &settings, const shared_retry_limits &retryLimits);
@@ -198,7 +208,7 @@
     std::map<service_id, std::set<waiting_shard_key>> m_waitingShards;
     /** Requests of which nothing has been sent, as too few of their shards have capacity. */
     std::set<admission_key> m_pendingAdmission;
-    std::size_t m_memberCount = 1;
+    member_counts m_memberCounts;
     query_number m_lastQueryNumber = 0;
     std::uint64_t m_lastAttemptNumber = 0;
     /** How late this host's timers run, which delays its answers equally. */
--- a/include/mustardcourse/serving/query_service_admission.h
+++ b/include/mustardcourse/serving/query_service_admission.h
@@ -142,13 +142,14 @@
         {shard.service, medianLatency, shard.triedTargets},
         [&](target &candidate) -> std::optional<duration> {
             hasUsableTarget = true;
-            const duration untilTurn = candidate.timeUntilTurn(m_memberCount, now);
+            const duration untilTurn = candidate.timeUntilTurn(m_memberCounts.forRates, now);
             if (untilTurn > duration::zero()) {
                 earliestTurn = std::min(earliestTurn, untilTurn);
                 return std::nullopt;
             }
             hasTargetWithinLimit = true;
-            const bool hasCapacity = candidate.maySendWhileCold(coldRate, m_memberCount, now)
+            const bool hasCapacity =
+                candidate.maySendWhileCold(coldRate, m_memberCounts.forRates, now)
                 && candidate.hasCapacity(medianLatency, limit, now);
             return hasCapacity ? connectionDelay(candidate, maximumConnections) : std::nullopt;
         });
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -165,9 +165,10 @@
     if (!reporter.recordLimit(answer.namedLimit, finishedAttempt.sentAt, m_environment.time.now()))
         return;
     if (answer.namedLimit)
-        m_environment.log.info(
-            "target-limited",
-            {{"target", instance}, {"per_s", *answer.namedLimit}, {"hosts", m_memberCount}});
+        m_environment.log.info("target-limited",
+                               {{"target", instance},
+                                {"per_s", *answer.namedLimit},
+                                {"hosts", m_memberCounts.forRates}});
     else
         m_environment.log.info("target-unlimited", {{"target", instance}});
 }
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -93,11 +93,11 @@
 }
 
 template <request_format Format>
-void query_service<Format>::setMemberCount(std::size_t count)
+void query_service<Format>::setMemberCounts(const member_counts &counts)
 {
-    m_memberCount = count;
-    m_budgets.setMemberCount(count);
-    m_connections.setMemberCount(count);
+    m_memberCounts = counts;
+    m_budgets.setMemberCount(counts.forReserves);
+    m_connections.setMemberCount(counts.forReserves);
 }
 
 template <request_format Format>
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -141,7 +141,7 @@
         CAPTURE(testCase.name);
         manual_clock time;
         const time_point start = time.now();
-        membership::member_estimate estimate(time, 8, 7s);
+        membership::member_estimate estimate(time, {.minimumCount = 8, .window = 7s});
         for (const auto &[at, count] : testCase.counts) {
             time.advance(start + at - time.now());
             estimate.observe(count);
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -1,4 +1,5 @@
 #include "property.h"
+#include "sliding_window.h"
 
 #include <mustardcourse/serving/retry_budgets.h>
 #include <mustardcourse/serving/target_directory.h>
@@ -59,17 +60,6 @@
 };
 
 /** Returns the highest number of events in any time window. */
-std::size_t mostWithin(duration window, const std::vector<time_point> &events)
-{
-    std::size_t most = 0;
-    for (std::size_t first = 0, last = 0; last < events.size(); ++last) {
-        while (events[last] - events[first] >= window)
-            ++first;
-        most = std::max(most, last - first + 1);
-    }
-    return most;
-}
-
 /** Returns hosts that have just learned of the same cold target, "a". */
 std::vector<std::unique_ptr<target_directory>> hostsWithColdTarget(const manual_clock &time,
                                                                    std::size_t count)
@@ -329,7 +319,7 @@
             }
             time.advance(5ms);
         }
-        const std::size_t maximumInWindow = mostWithin(1s, sendTimes);
+        const std::size_t maximumInWindow = tests::mostWithin(1s, sendTimes);
         CHECK(double(maximumInWindow) <= item.rate + double(item.hosts));
         // The platform's bound is one and a half times the rate plus five requests.
         CHECK(double(maximumInWindow) <= 1.5 * item.rate + 5);
@@ -358,7 +348,7 @@
             time.advance(5ms);
         }
         // The platform's bound is one and a half times the rate plus five requests.
-        CHECK(double(mostWithin(1s, sendTimes)) <= 1.5 * rate + 5);
+        CHECK(double(tests::mostWithin(1s, sendTimes)) <= 1.5 * rate + 5);
     }
 }
 
@@ -430,7 +420,7 @@
             }
             time.advance(step);
         }
-        const std::size_t maximumInWindow = mostWithin(4s, sendTimes);
+        const std::size_t maximumInWindow = tests::mostWithin(4s, sendTimes);
         // The platform's bound is one and a half times the limit plus five requests.
         CHECK(double(maximumInWindow) <= 1.5 * item.limit * 4 + 5);
         // Hosts with enough requests use the limit.
