--- a/include/mustardcourse/limits/shared_rate.h
+++ b/include/mustardcourse/limits/shared_rate.h
@@ -19,9 +19,8 @@
 
     Each host may send one request in each of its turns, which come at even intervals so that the
     turns of all hosts together make up the rate. The phase differs between hosts, so that the turns
-    are spread evenly even if all hosts learn of the rate at the same moment. A turn that is not
-   used soon is lost: hosts that were idle and get requests at the same moment must not send all at
-   once.
+    are spread evenly even if all hosts learn of the rate at the same moment. A turn that isn't used
+    soon is lost: hosts that were idle must not all send when they get requests at the same time.
 */
 class shared_rate
 {
--- a/include/mustardcourse/membership/member_estimate.h
+++ b/include/mustardcourse/membership/member_estimate.h
@@ -60,8 +60,8 @@
     /**
         Returns the number of hosts among which rates are divided.
 
-        A rate that all hosts together exceed even for a second does harm, so a host that cannot
-       know the others yet takes almost no share.
+        A rate that is exceeded even for a second does harm, so a host that cannot know the others
+        yet takes almost no share.
     */
     [[nodiscard]] std::size_t valueForRates()
     {
--- a/modules/net/loop.cpp
+++ b/modules/net/loop.cpp
@@ -18,8 +18,8 @@
 constexpr std::chrono::milliseconds minimumWait{2};
 /** Time after which a timer that has not expired is late. */
 constexpr std::chrono::milliseconds toleratedTimerDelay{5};
-/** Number of times that the loop reads before late timers expire. The second time, it reads what
-   has arrived on connections that it has accepted the first time. */
+/** Number of times that the loop reads before late timers expire; the second time, it reads from
+    connections that it has accepted the first time. */
 constexpr int readsBeforeLateTimers = 2;
 /** Size of one read; a complete response of a target fits. */
 constexpr std::size_t readBufferSize = 64 * 1024;
