--- /dev/null
+++ b/standins/standin_caller.cpp
@@ -0,0 +1,147 @@
+#include <mustardcourse/core/command_line.h>
+#include <mustardcourse/http/client_pool.h>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/time.h>
+#include <fmt/format.h>
+
+#include <cstdio>
+
+ABSL_FLAG(std::vector<std::string>, hosts, {"127.0.0.1:8101"}, "hosts to send requests to");
+ABSL_FLAG(std::uint32_t, callers, 2, "number of callers of each host");
+ABSL_FLAG(absl::Duration, length, absl::Seconds(10), "time for which callers send requests");
+ABSL_FLAG(std::string, name, "caller", "beginning of the ids of requests");
+
+namespace {
+
+using namespace mustardcourse;
+
+/** Pause of a caller between the end of a request and the next one. */
+constexpr std::chrono::milliseconds pauseBetweenRequests{20};
+/** Pause of a caller whose host accepts no connection. */
+constexpr std::chrono::milliseconds pauseAfterUnreached{200};
+/** One in this number of requests is a booking. */
+constexpr std::uint64_t bookingInterval = 5;
+constexpr std::uint32_t callerDeadlineMilliseconds = 900;
+
+std::int64_t wallMilliseconds(const mustardcourse::clock &time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.wallNow().time_since_epoch())
+        .count();
+}
+
+/** Sends one request after the other to a host, on one connection as long as the host keeps it, and
+    prints for each: begin and end in milliseconds, host, id, status, parts and missing parts. */
+class steady_caller
+{
+public:
+    steady_caller(net::loop &loop, const mustardcourse::clock &time, const endpoint &host,
+                  std::string name)
+        : m_time(time)
+        , m_name(std::move(name))
+        , m_pool(loop, time, host, {.maximumConnections = 1})
+        , m_next(loop, [this] { sendNext(); })
+    {
+        m_next.start(pauseBetweenRequests);
+    }
+
+    void stop() { m_isStopping = true; }
+    [[nodiscard]] bool isIdle() const noexcept { return !m_isWaiting; }
+
+private:
+    void sendNext()
+    {
+        if (m_isStopping)
+            return;
+        const bool isBooking = ++m_sent % bookingInterval == 0;
+        const std::string id =
+            fmt::format("{}-{}-{}", isBooking ? "booking" : "lookup", m_name, m_sent);
+        http::exchange_request request;
+        request.bytes =
+            fmt::format("{} HTTP/1.1\r\nHost: search.example\r\nX-Attempt-Id: {}\r\n"
+                        "X-Time-Budget-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+                        isBooking ? "POST /once/x" : "GET /all/x", id, callerDeadlineMilliseconds);
+        request.onEnd = [this, id,
+                         begin = wallMilliseconds(m_time)](http::exchange_result &&result) {
+            m_isWaiting = false;
+            print(id, begin, result);
+            m_next.start(result.end == http::exchange_end::NotSent ? pauseAfterUnreached
+                                                                   : pauseBetweenRequests);
+        };
+        m_isWaiting = true;
+        m_pool.send(std::move(request));
+    }
+
+    void print(const std::string &id, std::int64_t begin, const http::exchange_result &result) const
+    {
+        std::string status = std::to_string(result.answer.status);
+        if (result.end == http::exchange_end::NotSent)
+            status = "unreached";
+        else if (result.end == http::exchange_end::Lost)
+            status = "cut";
+        const auto missing = http::findHeader(result.answer.headers, "X-Missing-Parts");
+        fmt::print("{} {} {} {} {} {} {}\n", begin, wallMilliseconds(m_time),
+                   m_pool.peer().toString(), id, status, countOwnParts(id, result.answer),
+                   missing.value_or("-"));
+    }
+
+    /** Returns the number of parts of an answer that belong to the request; "-" if it has none, and
+        "foreign" if there is a part of another request. */
+    static std::string countOwnParts(const std::string &id, const http::response &answer)
+    {
+        const auto stamps = http::findHeader(answer.headers, "X-Part-Stamps");
+        if (!stamps)
+            return "-";
+        const std::vector<std::string> parts = absl::StrSplit(std::string(*stamps), ", ");
+        for (const std::string &part : parts) {
+            if (!part.ends_with("." + id))
+                return "foreign";
+        }
+        return std::to_string(parts.size());
+    }
+
+    const mustardcourse::clock &m_time;
+    std::string m_name;
+    http::client_pool m_pool;
+    net::timer m_next;
+    std::uint64_t m_sent = 0;
+    bool m_isWaiting = false;
+    bool m_isStopping = false;
+};
+
+} // namespace
+
+/** Runs callers that use open connections until the host closes them. */
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Sends requests to hosts and prints how each one ended.");
+    acceptDashesInFlags(argc, argv);
+    absl::ParseCommandLine(argc, argv);
+    const system_clock time;
+    net::loop loop;
+    std::vector<std::unique_ptr<steady_caller>> callers;
+    for (const std::string &host : absl::GetFlag(FLAGS_hosts)) {
+        for (std::uint32_t number = 0; number < absl::GetFlag(FLAGS_callers); ++number)
+            callers.push_back(std::make_unique<steady_caller>(
+                loop, time, endpoint::parse(host),
+                fmt::format("{}-{}", absl::GetFlag(FLAGS_name), callers.size())));
+    }
+    net::timer drainTimer(loop, [&] {
+        const bool areIdle = std::all_of(callers.begin(), callers.end(),
+                                         [](const auto &caller) { return caller->isIdle(); });
+        if (areIdle)
+            return loop.stop();
+        drainTimer.start(pauseBetweenRequests);
+    });
+    net::timer endTimer(loop, [&] {
+        for (const auto &caller : callers)
+            caller->stop();
+        drainTimer.start(pauseBetweenRequests);
+    });
+    endTimer.start(absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_length)));
+    loop.run();
+    return 0;
+}
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -87,6 +87,8 @@
             absl::StrSplit(std::string(command), '/', absl::SkipEmpty());
         if (command == "/most-runs-of-one-booking")
             return std::to_string(mostRunsOfOneBooking());
+        if (command == "/booking-runs")
+            return listBookingRuns();
         const bool isForTarget = words.size() >= 3 && words[0] == "target";
         if (isForTarget)
             return executeAtTarget(words);
@@ -113,21 +115,36 @@
         return std::to_string(target.arrivalCount());
     }
 
-    /** Returns the highest number of runs, over all targets, of a request whose id begins with
-        "booking-". */
-    [[nodiscard]] std::size_t mostRunsOfOneBooking() const
+    /** Returns how often each request whose id begins with "booking-" has run at all targets. */
+    [[nodiscard]] std::map<std::string, std::size_t> bookingRuns() const
     {
         std::map<std::string, std::size_t> runs;
-        std::size_t most = 0;
         for (const auto &target : m_targets) {
             for (const auto &[id, count] : target->runCountsById()) {
                 if (id.starts_with("booking-"))
-                    most = std::max(most, runs[id] += count);
+                    runs[id] += count;
             }
         }
+        return runs;
+    }
+
+    [[nodiscard]] std::size_t mostRunsOfOneBooking() const
+    {
+        std::size_t most = 0;
+        for (const auto &[id, count] : bookingRuns())
+            most = std::max(most, count);
         return most;
     }
 
+    /** Returns a line "ID RUNS" for each booking that has run. */
+    [[nodiscard]] std::string listBookingRuns() const
+    {
+        std::string lines;
+        for (const auto &[id, count] : bookingRuns())
+            lines.append(fmt::format("{} {}\n", id, count));
+        return lines;
+    }
+
     bool executeAtStore(std::string_view command)
     {
         using standins::store_mode;
