Two property tests of the store share the recording host and the checks

The recorder of values, the answering of pending calls and the comparison with the store stood in both tests. No check changes; both properties pass.

--- a/tests/relay_property_test.cpp
+++ b/tests/relay_property_test.cpp
@@ -15,13 +15,14 @@
 using namespace std::chrono_literals;
 using tests::model_client;
 using tests::model_store;
+using tests::value_recorder;
 
 namespace {
 
 const endpoint relayAddress("127.0.0.1", 20986);
 
 /** A host that mirrors the store. The values of the keys are increasing numbers. */
-class relayed_host final : private mirror_listener
+class relayed_host
 {
 public:
     relayed_host(net::loop &loop, const mustardcourse::clock &time, const logger &log,
@@ -33,7 +34,7 @@
                  })
         , relay(time)
         , watched(loop, time, log, client, relay, [this] { mirror.recordStoreFailure(); })
-        , mirror(loop, time, log, watched, *this,
+        , mirror(loop, time, log, watched, recorder,
                  {.prefixes = {""},
                   .watchedPrefix = "",
                   .expiryGracePeriod = 0ms,
@@ -47,30 +48,10 @@
     model_client client;
     change_relay relay;
     relayed_store<model_client> watched;
+    value_recorder recorder{[this] {
+        return value_recorder::mirror_state{mirror.progress().position.era(), mirror.isComplete()};
+    }};
     store_mirror<relayed_store<model_client>> mirror;
-    std::map<std::string, std::string> values;
-    bool hasGoneBack = false;
-
-private:
-    void onKeyUpdated(const std::string &key, const std::string &value) override
-    {
-        const store_era era = mirror.progress().position.era();
-        const std::uint64_t number = std::stoull(value);
-        newest_value &newest = m_newest[key];
-        const bool isComparable = mirror.isComplete() && newest.era == era;
-        hasGoneBack = hasGoneBack || (isComparable && number < newest.number);
-        newest = {era, number};
-        values[key] = value;
-    }
-    void onKeyRemoved(const std::string &key) override { values.erase(key); }
-    void onInitialListingComplete() override { }
-
-    struct newest_value
-    {
-        store_era era;
-        std::uint64_t number = 0;
-    };
-    std::map<std::string, newest_value> m_newest;
 };
 
 /** A relay and two hosts that follow it, with one store. */
@@ -137,31 +118,15 @@
     {
         constexpr int rounds = 12;
         for (int round = 0; round < rounds; ++round) {
-            for (const auto &host : m_hosts) {
-                for (std::size_t left = host->client.pendingCount(); left > 0; --left) {
-                    host->client.execute(0);
-                    host->client.deliver(0);
-                }
-            }
+            tests::answerPendingCalls(m_hosts);
             m_fixture.runFor(3ms);
         }
     }
 
-    [[nodiscard]] bool hasGoneBack() const
-    {
-        return std::any_of(m_hosts.begin(), m_hosts.end(),
-                           [](const auto &host) { return host->hasGoneBack; });
-    }
+    [[nodiscard]] bool hasGoneBack() const { return tests::hasAnyGoneBack(m_hosts); }
 
     /** Returns whether every host holds what the store does. */
-    [[nodiscard]] bool isCurrent() const
-    {
-        std::map<std::string, std::string> expected;
-        for (const auto &[key, item] : m_content.items())
-            expected[key] = item.value;
-        return std::all_of(m_hosts.begin(), m_hosts.end(),
-                           [&](const auto &host) { return host->values == expected; });
-    }
+    [[nodiscard]] bool isCurrent() const { return tests::areAllCurrent(m_hosts, m_content); }
 
     [[nodiscard]] std::uint64_t relayedBytes() const { return m_relayedBytes; }
 
--- a/tests/store_model.h
+++ b/tests/store_model.h
@@ -4,6 +4,7 @@
 #include <mustardcourse/store/lease_membership.h>
 #include <mustardcourse/store/store_mirror.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -285,4 +286,94 @@
     std::vector<pending_call> m_calls;
 };
 
+/** Records the values that a mirror reports, which are increasing numbers. */
+class value_recorder final : public store::mirror_listener
+{
+public:
+    /** What the mirror has followed so far. */
+    struct mirror_state
+    {
+        store::store_era era;
+        bool isComplete = false;
+    };
+
+    explicit value_recorder(std::function<mirror_state()> currentState)
+        : m_currentState(std::move(currentState))
+    { }
+
+    [[nodiscard]] const std::map<std::string, std::string> &values() const { return m_values; }
+    /** Returns whether a value of a complete mirror has decreased within an era. */
+    [[nodiscard]] bool hasGoneBack() const { return m_hasGoneBack; }
+
+    /** Calls a handler when a key is removed. */
+    void onRemoval(std::function<void(const std::string &)> handler)
+    {
+        m_removalHandler = std::move(handler);
+    }
+
+private:
+    void onKeyUpdated(const std::string &key, const std::string &value) override
+    {
+        const mirror_state state = m_currentState();
+        const std::uint64_t number = std::stoull(value);
+        newest_value &newest = m_newest[key];
+        const bool isComparable = state.isComplete && newest.era == state.era;
+        m_hasGoneBack = m_hasGoneBack || (isComparable && number < newest.number);
+        newest = {state.era, number};
+        m_values[key] = value;
+    }
+
+    void onKeyRemoved(const std::string &key) override
+    {
+        m_values.erase(key);
+        if (m_removalHandler)
+            m_removalHandler(key);
+    }
+
+    void onInitialListingComplete() override { }
+
+    struct newest_value
+    {
+        store::store_era era;
+        std::uint64_t number = 0;
+    };
+
+    std::function<mirror_state()> m_currentState;
+    std::function<void(const std::string &)> m_removalHandler;
+    std::map<std::string, std::string> m_values;
+    std::map<std::string, newest_value> m_newest;
+    bool m_hasGoneBack = false;
+};
+
+/** Answers all pending calls of some hosts. */
+template <typename Hosts>
+void answerPendingCalls(const Hosts &hosts)
+{
+    for (const auto &host : hosts) {
+        for (std::size_t left = host->client.pendingCount(); left > 0; --left) {
+            host->client.execute(0);
+            host->client.deliver(0);
+        }
+    }
+}
+
+/** Returns whether any of some hosts has gone back. */
+template <typename Hosts>
+bool hasAnyGoneBack(const Hosts &hosts)
+{
+    return std::any_of(hosts.begin(), hosts.end(),
+                       [](const auto &host) { return host->recorder.hasGoneBack(); });
+}
+
+/** Returns whether each of some hosts holds what the store does. */
+template <typename Hosts>
+bool areAllCurrent(const Hosts &hosts, const model_store &content)
+{
+    std::map<std::string, std::string> expected;
+    for (const auto &[key, item] : content.items())
+        expected[key] = item.value;
+    return std::all_of(hosts.begin(), hosts.end(),
+                       [&](const auto &host) { return host->recorder.values() == expected; });
+}
+
 } // namespace mustardcourse::tests
--- a/tests/store_restore_property_test.cpp
+++ b/tests/store_restore_property_test.cpp
@@ -15,6 +15,7 @@
 using namespace std::chrono_literals;
 using tests::model_client;
 using tests::model_store;
+using tests::value_recorder;
 
 namespace {
 
@@ -54,7 +55,7 @@
 };
 
 /** A host that mirrors the store and is a member; the values of the keys are rising numbers. */
-class model_host final : private mirror_listener
+class model_host
 {
 public:
     model_host(net::loop &loop, const mustardcourse::clock &time, const logger &log,
@@ -65,7 +66,7 @@
                      membership.onNewEra(era);
                  })
         , relayedStore(client, changes, relay)
-        , mirror(loop, time, log, relayedStore, *this,
+        , mirror(loop, time, log, relayedStore, recorder,
                  {.prefixes = {""},
                   .watchedPrefix = "",
                   .expiryGracePeriod = 0ms,
@@ -81,6 +82,10 @@
                      [this] { mirror.recordStoreFailure(); })
         , ownKey("hosts/" + name)
     {
+        recorder.onRemoval([this](const std::string &key) {
+            if (key == ownKey)
+                membership.onKeyRemoved();
+        });
         mirror.start();
         membership.join();
     }
@@ -88,39 +93,12 @@
     model_client client;
     change_log changes;
     model_relayed_store relayedStore;
+    value_recorder recorder{[this] {
+        return value_recorder::mirror_state{mirror.progress().position.era(), mirror.isComplete()};
+    }};
     store_mirror<model_relayed_store> mirror;
     lease_membership<model_client> membership;
     std::string ownKey;
-    std::map<std::string, std::string> values;
-    bool hasGoneBack = false;
-
-private:
-    void onKeyUpdated(const std::string &key, const std::string &value) override
-    {
-        const store_era era = mirror.progress().position.era();
-        const std::uint64_t number = std::stoull(value);
-        newest_value &newest = m_newest[key];
-        const bool isComparable = mirror.isComplete() && newest.era == era;
-        hasGoneBack = hasGoneBack || (isComparable && number < newest.number);
-        newest = {era, number};
-        values[key] = value;
-    }
-
-    void onKeyRemoved(const std::string &key) override
-    {
-        values.erase(key);
-        if (key == ownKey)
-            membership.onKeyRemoved();
-    }
-
-    void onInitialListingComplete() override { }
-
-    struct newest_value
-    {
-        store_era era;
-        std::uint64_t number = 0;
-    };
-    std::map<std::string, newest_value> m_newest;
 };
 
 /** A relay, a host that follows it and one that does not, with one store. */
@@ -186,31 +164,15 @@
     {
         constexpr int rounds = 12;
         for (int round = 0; round < rounds; ++round) {
-            for (const auto &host : m_hosts) {
-                for (std::size_t left = host->client.pendingCount(); left > 0; --left) {
-                    host->client.execute(0);
-                    host->client.deliver(0);
-                }
-            }
+            tests::answerPendingCalls(m_hosts);
             m_loop.runFor(0ms);
         }
     }
 
-    [[nodiscard]] bool hasGoneBack() const
-    {
-        return std::any_of(m_hosts.begin(), m_hosts.end(),
-                           [](const auto &host) { return host->hasGoneBack; });
-    }
+    [[nodiscard]] bool hasGoneBack() const { return tests::hasAnyGoneBack(m_hosts); }
 
     /** Returns whether every host holds what the store does. */
-    [[nodiscard]] bool isCurrent() const
-    {
-        std::map<std::string, std::string> expected;
-        for (const auto &[key, item] : m_store.items())
-            expected[key] = item.value;
-        return std::all_of(m_hosts.begin(), m_hosts.end(),
-                           [&](const auto &host) { return host->values == expected; });
-    }
+    [[nodiscard]] bool isCurrent() const { return tests::areAllCurrent(m_hosts, m_store); }
 
     [[nodiscard]] bool areAllMembers() const
     {
