--- a/scripts/platform-fleet.sh
+++ b/scripts/platform-fleet.sh
@@ -3,22 +3,25 @@
 
 # FLEET_LINK_MBIT: data rate of each host's network link in Mbit/s (1000)
 FLEET_LINK_MBIT=${FLEET_LINK_MBIT:-1000}
+# FLEET_MOST_HOSTS: highest number of a host (20). Ports are, from FLEET_PORT + 400: those for
+# callers, readiness, metrics and relays, so many of each, and the targets.
+FLEET_MOST_HOSTS=${FLEET_MOST_HOSTS:-20}
 
 # platform_settings NUMBER [DATA_CENTRE]: prints the settings of a host; one with a data centre can
 # relay changes of the store.
 platform_settings() {
     local number=$1
     local data_centre=${2:-${FLEET_DATA_CENTRES[$((($1 - 1) % 3))]}}
-    local relay=${2:+relay = 127.0.0.1:$((FLEET_PORT + 460 + $1))}
+    local relay=${2:+relay = 127.0.0.1:$(host_port 3 "$1")}
     cat << END
 [host]
 id = host-$number
 data_centre = $data_centre
 
 [listen]
-caller = 127.0.0.1:$((FLEET_PORT + 400 + number))
-readiness = 127.0.0.1:$((FLEET_PORT + 420 + number))
-metrics = 127.0.0.1:$((FLEET_PORT + 440 + number))
+caller = 127.0.0.1:$(caller_port "$number")
+readiness = 127.0.0.1:$(readiness_port "$number")
+metrics = 127.0.0.1:$(metrics_port "$number")
 $relay
 
 [network]
@@ -38,7 +41,7 @@
 
 start_platform_standin() {
     start platform "$FLEET_BIN/standin_platform" --store="127.0.0.1:$((FLEET_PORT + 399))" \
-        --first-target-port=$((FLEET_PORT + 500)) --control="127.0.0.1:$((FLEET_PORT + 398))" "$@"
+        --first-target-port="$(host_port 5 0)" --control="127.0.0.1:$((FLEET_PORT + 398))" "$@"
 }
 
 # change_store COMMAND: sends a command to the control address of the platform stand-in.
@@ -62,19 +65,24 @@
     exec 9>&-
 }
 
-caller_port() {
-    echo $((FLEET_PORT + 400 + $1))
+# host_port USE HOST: prints the port of a host for the use with this number.
+host_port() {
+    echo $((FLEET_PORT + 400 + $1 * FLEET_MOST_HOSTS + $2))
 }
 
+caller_port() { host_port 0 "$1"; }
+readiness_port() { host_port 1 "$1"; }
+metrics_port() { host_port 2 "$1"; }
+
 is_ready() {
-    send_request $((FLEET_PORT + 420 + $1)) GET / ready 2> /dev/null | grep -q ' 200 '
+    send_request "$(readiness_port "$1")" GET / ready 2> /dev/null | grep -q ' 200 '
 }
 
 now_ms() { echo $(($(date +%s%N) / 1000000)); }
 
 # lists_members NUMBER COUNT: whether a host sees this many members.
 lists_members() {
-    send_request $((FLEET_PORT + 440 + $1)) GET /status state | grep -q "\"listed\":$2"
+    send_request "$(metrics_port "$1")" GET /status state | grep -q "\"listed\":$2"
 }
 
 # start_relayed_fleet COUNT RELAYED: starts hosts 1 to COUNT and waits until they see one another.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -24,10 +24,13 @@
     --seeds) first_seed=${2%-*} last_seed=${2#*-} ;;
     --hosts) host_count=$2 ;;
     --length) length_s=$2 ;;
-    *) echo "unknown option $1" >&2; exit 2 ;;
+    *) echo "soak.sh: unknown option $1" >&2; exit 2 ;;
     esac
     shift 2
 done
+if [ "$host_count" -gt "$FLEET_MOST_HOSTS" ]; then
+    FLEET_MOST_HOSTS=$host_count
+fi
 
 # plan_faults SEED: prints lines "MILLISECONDS EVENT ARGUMENT" in the order of time. Faults overlap.
 plan_faults() {
