Logs and metrics tell apart why a host refuses or lacks a configuration

Cause: a connection that rejects a request while it reads it (400, 408, 413, 431) logged nothing; a response of the store that was too large counted as unanswered; nothing counted how many versions a host decodes for one that it uses.

No logic changes.

--- a/include/mustardcourse/http/caller_server.h
+++ b/include/mustardcourse/http/caller_server.h
@@ -100,6 +100,10 @@
     caller_server(const caller_server &) = delete;
     caller_server &operator=(const caller_server &) = delete;
 
+    /** Sets a handler for requests that are rejected without reaching the request handler; it is
+        called with the status of the response. */
+    void onRejection(std::function<void(int)> handler) { m_onRejection = std::move(handler); }
+
     /** Sets the limits. Timeouts apply from the next start of a timer, message limits to requests
         on connections that are accepted from now on. */
     void setLimits(const caller_limits &limits) { m_limits = limits; }
@@ -123,6 +127,7 @@
     net::loop &m_loop;
     const clock &m_clock;
     request_handler m_handler;
+    std::function<void(int)> m_onRejection;
     caller_limits m_limits;
     bool m_isClosingAfterResponses = false;
     std::unordered_set<caller_connection *> m_connections;
--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -19,6 +19,8 @@
     NotSent,
     /** The peer may have received the request, but no complete response arrived. */
     Lost,
+    /** The peer has received the request, and its response exceeds the limits of the pool. */
+    Oversized,
 };
 
 /** The result of an exchange. */
--- a/include/mustardcourse/http/timed_exchange.h
+++ b/include/mustardcourse/http/timed_exchange.h
@@ -4,20 +4,19 @@
 #include <mustardcourse/net/loop.h>
 
 #include <functional>
-#include <optional>
 
 namespace mustardcourse::http {
 
-/** Receives the response, or nothing if the exchange failed or timed out. */
-using response_handler = std::function<void(std::optional<response> &&)>;
+/** Receives the result of an exchange; one that timed out counts as lost. */
+using result_handler = std::function<void(exchange_result &&)>;
 
 /**
-    Sends a request and calls the handler once: with the response, or with nothing if the exchange
-    failed or timed out. A timeout closes the connection of the exchange.
+    Sends a request and calls the handler once, with the result of the exchange. A timeout closes
+    the connection of the exchange.
 
     @param timeout  time from this call to the end of the response
 */
 void sendWithTimeout(net::loop &loop, client_pool &pool, exchange_request request, duration timeout,
-                     response_handler handler);
+                     result_handler handler);
 
 } // namespace mustardcourse::http
--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -47,6 +47,7 @@
     prometheus::Gauge &storeRevision;
     prometheus::Gauge &storeEra;
     prometheus::Counter &logLinesDropped;
+    prometheus::Counter &configurationsRead;
     prometheus::Gauge &configurationVersion;
     prometheus::Gauge &targets;
     prometheus::Gauge &members;
--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -57,7 +57,7 @@
 private:
     void watchDirectly(const std::string &prefix, const store_position &since, duration wait,
                        batch_handler handler);
-    void onRelayAnswer(std::optional<http::response> &&answer, const std::string &prefix,
+    void onRelayResult(const http::exchange_result &result, const std::string &prefix,
                        const store_position &since, duration wait, batch_handler handler);
 
     net::loop &m_loop;
@@ -103,31 +103,32 @@
         fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", relayTarget(since), m_relay->toString());
     http::sendWithTimeout(m_loop, *m_pool, std::move(request), m_settings.relayTimeout,
                           [this, prefix = std::string(prefix), since, wait,
-                           handler = std::move(handler)](std::optional<http::response> &&answer) {
-                              onRelayAnswer(std::move(answer), prefix, since, wait, handler);
+                           handler = std::move(handler)](http::exchange_result &&result) {
+                              onRelayResult(result, prefix, since, wait, handler);
                           });
 }
 
 template <watchable_store Store>
-void relayed_store<Store>::onRelayAnswer(std::optional<http::response> &&answer,
+void relayed_store<Store>::onRelayResult(const http::exchange_result &result,
                                          const std::string &prefix, const store_position &since,
                                          duration wait, batch_handler handler)
 {
+    const int status = result.end == http::exchange_end::Answered ? result.answer.status : 0;
     store_batch batch;
     batch.failure = store_failure::Unanswered;
-    if (answer && answer->status == relay_status::changes)
-        batch = decodeBatch(answer->body);
+    if (status == relay_status::changes)
+        batch = decodeBatch(result.answer.body);
     const bool isUsable = batch.failure == store_failure::None && batch.current.isSameEra(since);
     if (isUsable)
         return handler(std::move(batch));
     // A relay that has too much to send at once is usable for the next changes.
-    const bool isOverLimit = answer && answer->status == relay_status::overLimit;
+    const bool isOverLimit = status == relay_status::overLimit;
     if (!isOverLimit)
         m_relayAvoidedUntil = m_clock.now() + m_settings.relayAvoidanceTime;
     m_areChangesOverdue = true;
     m_log.info("relay-failed",
-               {{"status", answer ? answer->status : 0}, {"since", since.number().value()}});
-    if (answer && answer->status == relay_status::storeUnreachable)
+               {{"status", status}, {"since", since.number().value()}});
+    if (status == relay_status::storeUnreachable)
         m_onStoreUnreachable();
     watchDirectly(prefix, since, wait, std::move(handler));
 }
--- a/include/mustardcourse/store/store_port.h
+++ b/include/mustardcourse/store/store_port.h
@@ -25,6 +25,8 @@
     Unanswered,
     /** The response cannot be decoded. */
     Malformed,
+    /** The response is larger than the client accepts. */
+    Oversized,
     /** The response was sent before the store was restored from an older copy. */
     Outdated,
 };
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -154,6 +154,8 @@
 void caller_connection::refuse(int status)
 {
     m_isKeepAlive = false;
+    if (m_server.m_onRejection)
+        m_server.m_onRejection(status);
     respond({status, "", {}, ""});
 }
 
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -118,9 +118,10 @@
                 return;
             break;
         case read_state::Malformed:
+            return fail(exchange_end::Lost);
         case read_state::HeaderTooLarge:
         case read_state::BodyTooLarge:
-            return fail(exchange_end::Lost);
+            return fail(exchange_end::Oversized);
         }
     }
 }
--- a/modules/http/timed_exchange.cpp
+++ b/modules/http/timed_exchange.cpp
@@ -7,7 +7,7 @@
 /** A pending exchange, which ends with its response or its timeout, whichever comes first. */
 struct timed_exchange
 {
-    response_handler handler;
+    result_handler handler;
     exchange_id exchange = 0;
     std::optional<net::timer> timer;
 };
@@ -15,7 +15,7 @@
 } // namespace
 
 void sendWithTimeout(net::loop &loop, client_pool &pool, exchange_request request, duration timeout,
-                     response_handler handler)
+                     result_handler handler)
 {
     // The request's handler owns the pending exchange; the timer, a member of it, refers to it
     // weakly.
@@ -26,14 +26,14 @@
         if (!expired)
             return;
         pool.cancel(expired->exchange);
-        expired->handler(std::nullopt);
+        exchange_result result;
+        result.end = exchange_end::Lost;
+        expired->handler(std::move(result));
     });
     pending->handler = std::move(handler);
     request.onEnd = [pending](exchange_result &&result) {
         pending->timer->stop();
-        if (result.end == exchange_end::Answered)
-            return pending->handler(std::move(result.answer));
-        pending->handler(std::nullopt);
+        pending->handler(std::move(result));
     };
     pending->exchange = pool.send(std::move(request));
     pending->timer->start(timeout);
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -69,6 +69,8 @@
     , storeEra(gauge(m_registry, "mustardcourse_store_era", "Era of that revision"))
     , logLinesDropped(counter(m_registry, "mustardcourse_log_lines_dropped_total",
                               "Log lines dropped to limit their volume"))
+    , configurationsRead(counter(m_registry, "mustardcourse_configurations_read_total",
+                                 "Documents of the operators that were decoded"))
     , configurationVersion(gauge(m_registry, "mustardcourse_configuration_version",
                                  "Version of the active configuration"))
     , targets(gauge(m_registry, "mustardcourse_targets", "Registered targets"))
--- a/modules/store/store_port.cpp
+++ b/modules/store/store_port.cpp
@@ -19,6 +19,8 @@
         return "unanswered";
     case store_failure::Malformed:
         return "malformed";
+    case store_failure::Oversized:
+        return "oversized";
     case store_failure::Outdated:
         return "outdated";
     }
