What outlives a configuration follows the active one: limits of open connections, weights, objectives

What callers saw: on connections that were open before, requests that the newest configuration allows were refused with 413 or 431, as the former one says, for as long as the connection lived; requests that it no longer allows were served; idle connections were closed after the former time. A service whose weight had become zero could still get a request.

Cause: a part of a configuration was copied into an object that lives longer than the configuration, when that object was made, and never again: the message limits into the reader of each accepted connection, the idle time into its running timer, the credits of the round robin by position, the latency objective into a route's statistics. The ratio of the retry budget was copied in the same way from the settings of the host.

Change: a reader takes the limits in force when the first byte of a request is read; an idle time that grows applies to idle connections at once (a shorter one from the next time on, as the caller may still rely on the former); the round robin begins anew when services or weights change; statistics and budgets follow objective and ratio. Looked through and found to be read anew for each request: routes, time-outs, shards, numbers of targets, shares of connections, cold rates.

'a budget that is in use follows ...' and 'statistics of a route without attempts ...' are new: no run of them on the code before.

--- a/include/mustardcourse/http/caller_server.h
+++ b/include/mustardcourse/http/caller_server.h
@@ -104,9 +104,10 @@
         called with the status of the response. */
     void onRejection(std::function<void(int)> handler) { m_onRejection = std::move(handler); }
 
-    /** Sets the limits. Timeouts apply from the next start of a timer, message limits to requests
-        on connections that are accepted from now on. */
-    void setLimits(const caller_limits &limits) { m_limits = limits; }
+    /** Sets the limits, for open connections too: of requests whose first byte is read from now on,
+        and of the time that a connection may be idle. A connection that is idle already keeps its
+        former time if that is longer, as its caller may still use it. */
+    void setLimits(const caller_limits &limits);
 
     /** From now on, sends every response with "Connection: close" and closes its connection. */
     void closeAfterResponses() noexcept { m_isClosingAfterResponses = true; }
--- a/include/mustardcourse/http/reader.h
+++ b/include/mustardcourse/http/reader.h
@@ -51,6 +51,9 @@
     /** Processes the end of the stream, which completes a response without a length. */
     void feedEndOfStream();
 
+    /** Sets the limits of the following messages. Precondition: state() is Empty. */
+    void setLimits(const message_limits &limits) noexcept;
+
     /** Sets whether the following responses can have a body; those to HEAD have none. */
     void expectBody(bool isExpected) noexcept;
 
--- a/include/mustardcourse/limits/retry_budget.h
+++ b/include/mustardcourse/limits/retry_budget.h
@@ -39,6 +39,9 @@
         m_tokens = std::min(m_tokens, reserve);
     }
 
+    /** Sets the fraction of a token that each first call adds, from 0 to 1. */
+    void setFraction(double fraction) { m_fraction = fraction; }
+
     /** Adds the tokens for a number of first calls. */
     void earn(std::size_t calls)
     {
--- a/include/mustardcourse/serving/configuration.h
+++ b/include/mustardcourse/serving/configuration.h
@@ -26,6 +26,8 @@
 {
     service_id service;
     double weight = 1;
+
+    friend bool operator==(const weighted_service &, const weighted_service &) = default;
 };
 
 /** How requests for one host name and path prefix are served. */
@@ -113,7 +115,11 @@
 
 using configuration_pointer = std::shared_ptr<const configuration>;
 
-/** Distributes the requests of a route over its services by smooth weighted round robin. */
+/**
+    Distributes the requests of a route over its services by smooth weighted round robin, which
+    begins anew when the services or their weights change. A service of weight zero gets no request
+    unless all have none.
+*/
 class weighted_round_robin
 {
 public:
@@ -121,6 +127,7 @@
     const service_id &next(const std::vector<weighted_service> &services);
 
 private:
+    std::vector<weighted_service> m_services;
     std::vector<double> m_credits;
 };
 
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -139,6 +139,7 @@
     std::shared_ptr<route_statistics> &statistics = m_statistics[matchedRoute.name];
     if (!statistics)
         statistics = std::make_shared<route_statistics>(matchedRoute.latencyObjective);
+    statistics->setObjective(matchedRoute.latencyObjective);
     return statistics;
 }
 
--- a/include/mustardcourse/serving/route_statistics.h
+++ b/include/mustardcourse/serving/route_statistics.h
@@ -3,6 +3,8 @@
 #include <mustardcourse/serving/configuration.h>
 #include <mustardcourse/serving/latency_histogram.h>
 
+#include <optional>
+
 namespace mustardcourse::serving {
 
 /**
@@ -28,6 +30,9 @@
     /** @param objective  the route's latency objective, from which initial values are derived */
     explicit route_statistics(duration objective);
 
+    /** Sets the route's latency objective. */
+    void setObjective(duration objective) noexcept { m_objective = objective; }
+
     /** Records the latency of one answered attempt. */
     void recordAttempt(duration latency);
 
@@ -35,7 +40,7 @@
     void recordDeadline(duration deadline);
 
     /** Returns the median latency of an attempt, which a few slow targets do not affect. */
-    [[nodiscard]] duration medianLatency() const noexcept { return m_medianLatency; }
+    [[nodiscard]] duration medianLatency() const;
 
     /**
         Returns when a hedge may be sent, counted from the first attempt.
@@ -57,7 +62,7 @@
 private:
     latency_histogram m_attempts;
     duration m_objective;
-    duration m_medianLatency;
+    std::optional<duration> m_medianLatency;
     std::size_t m_attemptsSinceUpdate = 0;
     duration m_maximumDeadline{0};
 };
--- a/modules/http/caller_connection.h
+++ b/modules/http/caller_connection.h
@@ -21,6 +21,8 @@
 
     /** Returns whether the connection has been idle for at least this time. */
     [[nodiscard]] bool isIdleFor(duration minimumIdleTime) const;
+    /** Restarts the timer of an idle connection after the idle timeout has grown. */
+    void extendIdleTime();
     [[nodiscard]] bool hasExchange() const noexcept { return m_exchange != nullptr; }
 
 private:
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -71,6 +71,12 @@
     m_timer.start(m_server.m_limits.idleTimeout);
 }
 
+void caller_connection::extendIdleTime()
+{
+    if (isIdleFor(duration::zero()))
+        m_timer.start(m_idleSince + m_server.m_limits.idleTimeout - m_server.m_clock.now());
+}
+
 void caller_connection::onTimeout()
 {
     if (m_isFinishing || m_reader.state() == read_state::Empty) {
@@ -106,6 +112,7 @@
     while (m_exchange == nullptr && !m_unparsedData.empty() && !m_isFinishing) {
         if (m_reader.state() == read_state::Empty) {
             m_requestBegin = m_unparsedArrival;
+            m_reader.setLimits(m_server.m_limits.message);
             m_timer.start(m_server.m_limits.readTimeout);
         }
         const std::size_t consumed = m_reader.feed(m_unparsedData);
@@ -218,6 +225,16 @@
         delete *m_connections.begin();
 }
 
+void caller_server::setLimits(const caller_limits &limits)
+{
+    const bool isIdleTimeoutLonger = limits.idleTimeout > m_limits.idleTimeout;
+    m_limits = limits;
+    if (!isIdleTimeoutLonger)
+        return;
+    for (caller_connection *connection : m_connections)
+        connection->extendIdleTime();
+}
+
 void caller_server::closeIdleConnections(duration minimumIdleTime)
 {
     const auto connections = m_connections;
--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -230,6 +230,11 @@
         self.state = read_state::Malformed;
 }
 
+void message_reader::setLimits(const message_limits &limits) noexcept
+{
+    m_implementation->limits = limits;
+}
+
 void message_reader::expectBody(bool isExpected) noexcept
 {
     m_implementation->isBodyExpected = isExpected;
--- a/modules/serving/configuration.cpp
+++ b/modules/serving/configuration.cpp
@@ -58,8 +58,10 @@
 
 const service_id &weighted_round_robin::next(const std::vector<weighted_service> &services)
 {
-    if (m_credits.size() != services.size())
+    if (m_services != services) {
+        m_services = services;
         m_credits.assign(services.size(), 0);
+    }
     double total = 0;
     for (std::size_t i = 0; i < services.size(); ++i) {
         m_credits[i] += services[i].weight;
--- a/modules/serving/retry_budgets.cpp
+++ b/modules/serving/retry_budgets.cpp
@@ -38,8 +38,10 @@
 void retry_budgets::setLimits(const shared_retry_limits &sharedLimits)
 {
     m_sharedLimits = sharedLimits;
-    for (auto &[service, budget] : m_budgets)
+    for (auto &[service, budget] : m_budgets) {
+        budget.setFraction(sharedLimits.ratioPerRequest);
         budget.setReserve(reserve());
+    }
 }
 
 limits::retry_budget &retry_budgets::of(const service_id &service)
--- a/modules/serving/route_statistics.cpp
+++ b/modules/serving/route_statistics.cpp
@@ -29,16 +29,20 @@
 
 route_statistics::route_statistics(duration objective)
     : m_objective(objective)
-    , m_medianLatency(scaled(objective, initialMedianShare))
 { }
 
+duration route_statistics::medianLatency() const
+{
+    return m_medianLatency.value_or(scaled(m_objective, initialMedianShare));
+}
+
 void route_statistics::recordAttempt(duration latency)
 {
     m_attempts.record(latency);
     if (++m_attemptsSinceUpdate < attemptsPerUpdate)
         return;
     m_attemptsSinceUpdate = 0;
-    m_medianLatency = m_attempts.quantile(0.5, m_medianLatency);
+    m_medianLatency = m_attempts.quantile(0.5, medianLatency());
 }
 
 void route_statistics::recordDeadline(duration deadline)
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -191,6 +191,15 @@
     }
 }
 
+TEST_CASE("statistics of a route without attempts follow a change of its objective")
+{
+    route_statistics statistics(40ms);
+    statistics.setObjective(800ms);
+    const route_statistics fresh(800ms);
+    CHECK(statistics.medianLatency() == fresh.medianLatency());
+    CHECK(statistics.hedgeWindow(800ms).earliest == fresh.hedgeWindow(800ms).earliest);
+}
+
 TEST_CASE("initial statistics of a route are derived from its objective")
 {
     for (const duration objective : {duration(40ms), duration(800ms)}) {
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -525,6 +525,36 @@
     }
 }
 
+TEST_CASE("a budget that is in use follows a change of the shared limits")
+{
+    struct row
+    {
+        std::string name;
+        shared_retry_limits after;
+    };
+    const row rows[] = {{"a higher ratio", {0.5, 54}},
+                        {"a lower ratio", {0.1, 54}},
+                        {"another constant", {0.2, 20}}};
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        const auto retriesAfterRequests = [](retry_budgets &budgets) {
+            std::size_t retries = 0;
+            while (budgets.of(bids).trySpend())
+                ++retries;
+            budgets.of(bids).earn(100);
+            retries = 0;
+            while (budgets.of(bids).trySpend())
+                ++retries;
+            return retries;
+        };
+        retry_budgets changed({0.2, 54});
+        CHECK(retriesAfterRequests(changed) > 0);
+        changed.setLimits(testCase.after);
+        retry_budgets fresh(testCase.after);
+        CHECK(retriesAfterRequests(changed) == retriesAfterRequests(fresh));
+    }
+}
+
 TEST_CASE("a host that rarely sends to a target learns its slowness from one request")
 {
     struct row
