A host takes in the newest state of each key, not each change

What callers saw: after configurations in quick succession that a host could not follow (it was cut off, frozen, or the store was away), it went through all of them: a small host is blocked for a third of a second by each, and if they exceeded the 8 MB that it accepts at once, it repeated the same watch until the store dropped its history, and refused added routes with 404 for over 20 s.

Cause: the class is that the way a host learns of a state was taken for the state. Only the newest value of a key counts, but the mirror applied every change of a response, the relay kept and sent every change, and a response that was too large was taken for a lost one.

Change: of several changes of a key in a response the last is applied; the relay's log holds the newest change of each key; a response over the limit, or a large one with replaced changes, makes the host list the keys ('store-far-behind'); a large response is followed by the next watch without the pause of 500 ms, which had held a host to one page of changes in half a second.

'the change log returns only the newest change of each key' is new.

--- a/include/mustardcourse/store/change_log.h
+++ b/include/mustardcourse/store/change_log.h
@@ -2,14 +2,15 @@
 
 #include <mustardcourse/store/store_port.h>
 
-#include <deque>
+#include <list>
+#include <map>
 #include <optional>
 
 namespace mustardcourse::store {
 
 /**
-    A contiguous log of the latest changes of the store, for hosts that receive them through this
-    one.
+    A log of the latest changes of the store, for hosts that receive them through this one. It holds
+    the newest change of each key, without those that it replaces.
 
     The number of changes and their total size are bounded. Performs no I/O.
 */
@@ -27,18 +28,18 @@
 private:
     void restartAt(const store_position &begin);
     void dropOldest();
+    void dropChangeOf(const std::string &key);
 
-    /** The log holds every change after this position, up to and including m_current. */
+    /** The log holds the newest change of every key that changed after this position, up to and
+        including m_current. */
     store_position m_begin;
     store_position m_current;
     bool m_isUninitialised = true;
-    std::deque<store_item> m_items;
+    std::list<store_item> m_items;
+    std::map<std::string, std::list<store_item>::iterator> m_itemsByKey;
     std::size_t m_bytes = 0;
 };
 
-/** Returns the total size of the keys and values of a batch, in bytes. */
-std::size_t payloadSize(const store_batch &batch);
-
 /** Encodes a batch for transfer to another host. */
 std::string encodeBatch(const store_batch &batch);
 
--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -126,8 +126,7 @@
     if (!isOverLimit)
         m_relayAvoidedUntil = m_clock.now() + m_settings.relayAvoidanceTime;
     m_areChangesOverdue = true;
-    m_log.info("relay-failed",
-               {{"status", status}, {"since", since.number().value()}});
+    m_log.info("relay-failed", {{"status", status}, {"since", since.number().value()}});
     if (status == relay_status::storeUnreachable)
         m_onStoreUnreachable();
     watchDirectly(prefix, since, wait, std::move(handler));
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -67,6 +67,9 @@
     /** Pause after changes, so that one response of the next watch covers several of them: the
         store meters every call, and changes come in bursts. */
     duration watchPause = std::chrono::milliseconds(500);
+    /** Size of the changes in a response from which the next watch follows without a pause, as the
+        store may hold more of them. */
+    std::size_t largeResponseBytes = std::size_t{512} * 1024;
     duration initialRetryDelay = std::chrono::milliseconds(100);
     duration maximumRetryDelay = std::chrono::milliseconds(800);
 };
@@ -76,6 +79,10 @@
     the store has compacted changes that the mirror has not received, or was restored from an older
     copy.
 
+    What counts is the newest value of each key: of several changes of a key in one response only
+    the last is applied, and a mirror that is far behind lists the keys instead of reading all that
+    it has missed.
+
     Mirrored values stay valid while the store is unreachable. Within an era of the store, a value
     is never replaced by one of an older revision. Keys that disappear around an outage or a restore
     are reported as removed only after their owners had time to write them again.
@@ -107,6 +114,8 @@
     void completeListing();
     void watch();
     void onChanges(store_batch &&changes);
+    /** Lists the keys, as there are more changes than are worth reading. */
+    void catchUp();
     [[nodiscard]] bool isOfOtherHistory(const store_position &current) const;
     void beginHistory(const store_position &current);
     void apply(store_item &&item);
@@ -280,6 +289,10 @@
         m_callTimer.start(m_settings.maximumRetryDelay);
         return;
     }
+    if (changes.failure == store_failure::Oversized) {
+        recordStoreResponse();
+        return catchUp();
+    }
     if (changes.failure != store_failure::None)
         return retry(changes.failure, "watch");
     recordStoreResponse();
@@ -288,10 +301,23 @@
         return list(0, "");
     }
     m_wasHistoryCompacted = false;
-    for (store_item &item : changes.items)
-        apply(std::move(item));
+    const bool isLarge = payloadSize(changes) >= m_settings.largeResponseBytes;
+    const std::vector<std::size_t> newest = newestItems(changes.items);
+    for (const std::size_t index : newest)
+        apply(std::move(changes.items[index]));
     m_progress.position = changes.current;
-    m_callTimer.start(changes.items.empty() ? duration::zero() : m_settings.watchPause);
+    const bool hasReplacedItems = newest.size() < changes.items.size();
+    if (isLarge && hasReplacedItems)
+        return catchUp();
+    const bool isPauseNeeded = !newest.empty() && !isLarge;
+    m_callTimer.start(isPauseNeeded ? m_settings.watchPause : duration::zero());
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::catchUp()
+{
+    m_log.info("store-far-behind", {{"revision", m_progress.position.number().value()}});
+    list(0, "");
 }
 
 template <watchable_store Store>
--- a/include/mustardcourse/store/store_port.h
+++ b/include/mustardcourse/store/store_port.h
@@ -53,6 +53,12 @@
     bool hasMorePages = false;
 };
 
+/** Returns the total size of the keys and values of a batch, in bytes. */
+std::size_t payloadSize(const store_batch &batch);
+
+/** Returns the indices of the items that no later one of the same key replaces, in their order. */
+std::vector<std::size_t> newestItems(const std::vector<store_item> &items);
+
 /** A lease. It ends with the era of the store in which it was granted, as its id can be granted
     again in the next one. */
 struct lease_id
--- a/modules/store/change_log.cpp
+++ b/modules/store/change_log.cpp
@@ -38,7 +38,8 @@
     for (const store_item &item : changes.items) {
         if (!m_current.isBefore(item.modified))
             continue;
-        m_items.push_back(item);
+        dropChangeOf(item.key);
+        m_itemsByKey[item.key] = m_items.insert(m_items.end(), item);
         m_bytes += payloadSize(item);
     }
     if (m_current.isBefore(changes.current))
@@ -50,6 +51,7 @@
 void change_log::restartAt(const store_position &begin)
 {
     m_items.clear();
+    m_itemsByKey.clear();
     m_bytes = 0;
     m_begin = begin;
     m_current = begin;
@@ -59,8 +61,17 @@
 void change_log::dropOldest()
 {
     m_begin = m_items.front().modified;
-    m_bytes -= payloadSize(m_items.front());
-    m_items.pop_front();
+    dropChangeOf(std::string(m_items.front().key));
+}
+
+void change_log::dropChangeOf(const std::string &key)
+{
+    const auto found = m_itemsByKey.find(key);
+    if (found == m_itemsByKey.end())
+        return;
+    m_bytes -= payloadSize(*found->second);
+    m_items.erase(found->second);
+    m_itemsByKey.erase(found);
 }
 
 std::optional<store_batch> change_log::changesSince(const store_position &since) const
@@ -76,14 +87,6 @@
     return batch;
 }
 
-std::size_t payloadSize(const store_batch &batch)
-{
-    std::size_t size = 0;
-    for (const store_item &item : batch.items)
-        size += payloadSize(item);
-    return size;
-}
-
 std::string encodeBatch(const store_batch &batch)
 {
     capnp::MallocMessageBuilder message;
--- a/modules/store/store_port.cpp
+++ b/modules/store/store_port.cpp
@@ -1,5 +1,9 @@
 #include <mustardcourse/store/store_port.h>
 
+#include <algorithm>
+#include <set>
+#include <string_view>
+
 namespace mustardcourse::store {
 
 std::string_view nameOf(store_failure failure)
@@ -27,4 +31,24 @@
     return "unknown";
 }
 
+std::size_t payloadSize(const store_batch &batch)
+{
+    std::size_t size = 0;
+    for (const store_item &item : batch.items)
+        size += item.key.size() + item.value.size();
+    return size;
+}
+
+std::vector<std::size_t> newestItems(const std::vector<store_item> &items)
+{
+    std::set<std::string_view> seenKeys;
+    std::vector<std::size_t> indices;
+    for (std::size_t index = items.size(); index-- > 0;) {
+        if (seenKeys.insert(items[index].key).second)
+            indices.push_back(index);
+    }
+    std::reverse(indices.begin(), indices.end());
+    return indices;
+}
+
 } // namespace mustardcourse::store
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -138,6 +138,29 @@
     CHECK(keysOf(log.changesSince(at(30))) == std::vector<std::string>{"d"});
 }
 
+TEST_CASE("the change log returns only the newest change of each key")
+{
+    struct row
+    {
+        std::string name;
+        std::uint64_t since;
+        std::vector<std::string> keys;
+    };
+    const row rows[] = {
+        {"before all changes", 10, {"b", "c", "a"}},
+        {"between two changes of a key", 12, {"c", "a"}},
+        {"before the last change", 13, {"a"}},
+        {"after the last change", 14, {}},
+    };
+    change_log log;
+    log.append(at(10), batch({item("a", 11), item("b", 12), item("c", 13)}, 13));
+    log.append(at(13), batch({item("a", 14)}, 14));
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        CHECK(keysOf(log.changesSince(at(testCase.since))) == testCase.keys);
+    }
+}
+
 TEST_CASE("the change log returns nothing to a reader of another era of the store")
 {
     struct row
