Logs tell which requests are the same and whether a target left while it ran one

Cause: the hypotheses of the incident differ in whether several ids were one request, and in whether the target ended or the connection broke for another reason; no line said either.

Change: request-ended and attempt-ended carry 'request', a hash of host name, method, path, query and body; attempt-ended carries 'target_left', for a peer that closed or reset the connection before any of a response (not one that timed out). No logic changes. The stand-in target can end at each run of a path.

--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -30,6 +30,8 @@
     response answer;
     /** Whether the connection had carried an earlier exchange. */
     bool wasConnectionReused = false;
+    /** Whether the peer ended the connection before it sent any of a response. */
+    bool hasPeerLeft = false;
     /** Time for which the exchange waited until a new connection was established; zero if the
         connection was reused. */
     duration connectionTime{0};
--- a/include/mustardcourse/net/stream.h
+++ b/include/mustardcourse/net/stream.h
@@ -16,8 +16,10 @@
     NotConnected,
     /** The peer closed its side of the connection in an orderly way. */
     PeerClosed,
-    /** The connection was reset, or timed out while bytes were unacknowledged. */
+    /** The peer reset the connection, or writing failed. */
     Broken,
+    /** The connection timed out, as the peer acknowledged neither bytes nor probes. */
+    TimedOut,
 };
 
 /** Receives the events of a stream. */
--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -94,6 +94,8 @@
     /** Baseline for the latency of this attempt. @see target::recordOutcome */
     duration baselineLatency{0};
     bool isIdempotent = false;
+    /** Whether the target ended the connection before it sent any of an answer. */
+    bool hasTargetLeft = false;
     /** When to cancel it; set once its request has ended. */
     time_point cancelAt = time_point::max();
     std::shared_ptr<route_statistics> statistics;
--- a/include/mustardcourse/serving/query_service_answers.h
+++ b/include/mustardcourse/serving/query_service_answers.h
@@ -142,6 +142,7 @@
          {"ms", query_details::wholeMilliseconds(elapsed).count()},
          {"retries", query.retryCount},
          {"hedges", query.hedgeCount},
+         {"request", query_details::textOf(query.callerRequest->fingerprint)},
          {"gaps", missingShards}});
     if (outcome == "refused")
         logMissingCapacity(query);
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -72,8 +72,9 @@
     const auto found = m_attempts.find(number);
     if (found == m_attempts.end())
         return;
-    const attempt finishedAttempt = std::move(found->second);
+    attempt finishedAttempt = std::move(found->second);
     m_attempts.erase(found);
+    finishedAttempt.hasTargetLeft = result.hasPeerLeft;
 
     const bool wasConnectionReused = result.wasConnectionReused;
     if (result.connectionTime > duration::zero())
@@ -203,11 +204,14 @@
     } else if (canForwardResponse && answer && !query.matchedRoute->queriesAllShards())
         query.lastFailure = std::move(answer);
     if (outcome != attempt_outcome::Answered) {
-        m_environment.log.writeRateLimited("attempt-ended",
-                                           {{"id", query.callerRequest->id.value()},
-                                            {"target", finishedAttempt.instance.value()},
-                                            {"service", finishedAttempt.service.value()},
-                                            {"end", query_details::nameOf(outcome)}});
+        m_environment.log.writeRateLimited(
+            "attempt-ended",
+            {{"id", query.callerRequest->id.value()},
+             {"target", finishedAttempt.instance.value()},
+             {"service", finishedAttempt.service.value()},
+             {"end", query_details::nameOf(outcome)},
+             {"target_left", finishedAttempt.hasTargetLeft},
+             {"request", query_details::textOf(query.callerRequest->fingerprint)}});
         // The attempt did not reach the target, so it caused none of the load that the budget
         // limits.
         if (outcome == attempt_outcome::NotSent && shard.triedTargets.size() > 1)
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -30,6 +30,12 @@
     return std::chrono::floor<std::chrono::milliseconds>(time);
 }
 
+/** Returns a fingerprint as it is written to logs and keys. */
+inline std::string textOf(request_fingerprint fingerprint)
+{
+    return fmt::format("{:016x}", fingerprint.value());
+}
+
 inline std::string_view nameOf(attempt_outcome outcome)
 {
     switch (outcome) {
--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -12,10 +12,15 @@
 
 namespace mustardcourse::serving {
 
+/** Hash of what makes two requests of callers the same one under different ids: host name, method,
+    path, query and body. */
+using request_fingerprint = strong_value<struct request_fingerprint_tag, std::uint64_t>;
+
 /** A caller's request, independent of the message format. */
 struct caller_request
 {
     request_id id;
+    request_fingerprint fingerprint;
     std::string hostName;
     /** How long the caller waits, if the request states it. */
     std::optional<std::chrono::milliseconds> deadline;
--- a/include/mustardcourse/serving/retry_budgets.h
+++ b/include/mustardcourse/serving/retry_budgets.h
@@ -30,8 +30,8 @@
     /** Sets how many hosts share the limit. Precondition: at least one. */
     void setMemberCount(std::size_t count);
 
-    /** Sets the limits, for existing budgets too; those keep the attempts that they have saved up as
-        far as the new reserve allows. */
+    /** Sets the limits, for existing budgets too; those keep the attempts that they have saved up
+       as far as the new reserve allows. */
     void setLimits(const shared_retry_limits &sharedLimits);
 
     /** Returns the budget of a service. */
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -69,7 +69,7 @@
     /** Processes a complete response. Returns false if the exchange continues, as the response was
         an interim one or belongs to another request. */
     bool complete(bool hasMoreData);
-    void fail(exchange_end end);
+    void fail(exchange_end end, bool hasPeerLeft = false);
 
     client_pool &m_pool;
     message_reader m_reader;
@@ -144,7 +144,7 @@
     // connection is reused only if all of it has been sent.
     const bool isReusable =
         answer.isKeepAlive && !hasMoreData && !m_hasForeignResponse && m_stream->unsentBytes() == 0;
-    exchange_result result{exchange_end::Answered, std::move(answer), m_hasCarriedExchange,
+    exchange_result result{exchange_end::Answered, std::move(answer), m_hasCarriedExchange, false,
                            std::exchange(m_connectionTime, duration::zero())};
     auto onEnd = std::move(m_request.onEnd);
     m_request = {};
@@ -157,10 +157,10 @@
     return true;
 }
 
-void client_pool::connection::fail(exchange_end end)
+void client_pool::connection::fail(exchange_end end, bool hasPeerLeft)
 {
     auto onEnd = std::move(m_request.onEnd);
-    const exchange_result result{end, {}, m_hasCarriedExchange, m_connectionTime};
+    const exchange_result result{end, {}, m_hasCarriedExchange, hasPeerLeft, m_connectionTime};
     m_pool.remove(*this);
     if (onEnd)
         onEnd(exchange_result(result));
@@ -177,12 +177,14 @@
     }
     if (reason == net::stream_end_reason::NotConnected || !m_isConnected)
         return fail(exchange_end::NotSent);
+    const bool hasResponseBegun =
+        m_reader.state() != read_state::Empty || m_skippedResponseCount > 0;
     // A reset may truncate a response, so only an orderly close completes one without a length.
     if (reason == net::stream_end_reason::PeerClosed)
         m_reader.feedEndOfStream();
     if (m_reader.state() == read_state::Complete && complete(true))
         return;
-    fail(exchange_end::Lost);
+    fail(exchange_end::Lost, !hasResponseBegun && reason != net::stream_end_reason::TimedOut);
 }
 
 client_pool::client_pool(net::loop &loop, const clock &clock, endpoint peer,
--- a/modules/net/stream.cpp
+++ b/modules/net/stream.cpp
@@ -16,6 +16,20 @@
 /** Number of unanswered keep-alive probes, sent a second apart, that make a connection broken. */
 constexpr int maximumUnansweredProbes = 2;
 
+/** Returns why reading ended with this status of libuv. */
+stream_end_reason reasonOf(ssize_t status)
+{
+    switch (status) {
+    case UV_EOF:
+        return stream_end_reason::PeerClosed;
+    case UV_ETIMEDOUT:
+    case UV_EHOSTUNREACH:
+        return stream_end_reason::TimedOut;
+    default:
+        return stream_end_reason::Broken;
+    }
+}
+
 sockaddr_in socketAddress(const endpoint &address)
 {
     sockaddr_in result{};
@@ -91,8 +105,7 @@
                 if (count > 0)
                     self.receive({buffer->base, static_cast<std::size_t>(count)});
                 else if (count < 0)
-                    self.end(count == UV_EOF ? stream_end_reason::PeerClosed
-                                             : stream_end_reason::Broken);
+                    self.end(reasonOf(count));
             });
     }
 
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -105,6 +105,8 @@
                 reportHeaders() + pause + "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
             return true;
         }
+        if (m_request.target == m_owner.m_crashPath)
+            m_owner.m_crashArrivals.push_back(m_owner.m_clock.now());
         m_isRunning = true;
         ++m_owner.m_runningCount;
         ++m_owner.m_runCount;
@@ -116,6 +118,8 @@
 
     void finishWork()
     {
+        if (m_request.target == m_owner.m_crashPath)
+            return m_owner.crash();
         m_isRunning = false;
         --m_owner.m_runningCount;
         const std::string id = header("X-Attempt-Id");
@@ -209,16 +213,36 @@
     , m_clock(clock)
     , m_address(address)
     , m_settings(std::move(settings))
-    , m_startMilliseconds(static_cast<std::uint64_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch())
-              .count()))
-    , m_listener(loop, address, [this](std::unique_ptr<net::stream> stream) {
+    , m_startTimer(loop, [this] { start(); })
+{
+    start();
+}
+
+platform_target::~platform_target()
+{
+    closeConnections();
+}
+
+void platform_target::start()
+{
+    m_startMilliseconds = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch())
+            .count());
+    m_listener.emplace(m_loop, m_address, [this](std::unique_ptr<net::stream> stream) {
         // A connection owns itself and registers in m_connections.
         new connection(*this, std::move(stream)); // NOLINT
-    })
-{ }
+    });
+}
 
-platform_target::~platform_target()
+void platform_target::crash()
+{
+    m_crashTimes.push_back(m_clock.now());
+    m_listener.reset();
+    closeConnections();
+    m_startTimer.start(m_downTime);
+}
+
+void platform_target::closeConnections()
 {
     while (!m_connections.empty())
         delete *m_connections.begin();
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -5,8 +5,10 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace mustardcourse::standins {
 
@@ -83,6 +85,26 @@
     /** Sets the rate that every response names as a limit over all hosts; empty for none. */
     void setNamedLimit(std::string rate) { m_namedLimit = std::move(rate); }
 
+    /** Makes the target end at the end of each run of a path: its connections are closed and new
+        ones refused for a time. Then it has started again, but not registered. */
+    void crashOn(std::string path, duration downTime)
+    {
+        m_crashPath = std::move(path);
+        m_downTime = downTime;
+    }
+
+    /** Returns when the target has ended for a request. */
+    [[nodiscard]] const std::vector<time_point> &crashTimes() const noexcept
+    {
+        return m_crashTimes;
+    }
+    /** Returns when requests for the path that ends it have arrived. */
+    [[nodiscard]] const std::vector<time_point> &crashArrivals() const noexcept
+    {
+        return m_crashArrivals;
+    }
+    [[nodiscard]] bool isListening() const noexcept { return m_listener.has_value(); }
+
     void setWorkTime(std::chrono::milliseconds workTime) { m_settings.workTime = workTime; }
 
     /** Returns the registration document of this target, as it is written to the store. */
@@ -114,6 +136,10 @@
     class connection;
     friend class connection;
 
+    void start();
+    void crash();
+    void closeConnections();
+
     net::loop &m_loop;
     const clock &m_clock;
     endpoint m_address;
@@ -129,9 +155,14 @@
     std::size_t m_arrivalCount = 0;
     std::size_t m_endlessByteCount = 0;
     std::size_t m_acceptedConnectionCount = 0;
-    std::uint64_t m_startMilliseconds;
+    std::uint64_t m_startMilliseconds = 0;
     http::request m_lastRequest;
-    net::listener m_listener;
+    std::string m_crashPath;
+    duration m_downTime{0};
+    std::vector<time_point> m_crashTimes;
+    std::vector<time_point> m_crashArrivals;
+    net::timer m_startTimer;
+    std::optional<net::listener> m_listener;
 };
 
 } // namespace mustardcourse::standins
