Hosts remember a request under which targets end, and share it

What callers and targets saw: a request that ends each target that runs it came again under other ids at other hosts, and each host took it for a new one: 19 and 24 targets ended in the record, 10 and 18 requests reached targets after the third where 3 are allowed; lookups of other callers failed.

Cause: whatever a host learns of a request ends with that request's id. The class is knowledge that all hosts must have together and that belongs to none of the objects which live long enough.

Evidence: in the record 21 of 22 sends are first attempts (retries=0, hedges=0) at the seven hosts in turn, so the retries of this system are not the cause.

Change: suspect_requests holds, by a hash of host name, method, path, query and body, the lives of the targets that left while they ran it and had sent nothing of an answer. Any answer of a target clears it, so the other requests of an ended target are cleared by their next answer. After three ends a request is sent only as a test: one attempt, at one shard, by the one host that creates the test's entry in the store; meanwhile others wait within their admission time. An answer clears the request and its other shards follow; otherwise it is denied everywhere with 503 at once, with the time for which it stays denied as Retry-After. Entries have unique names and are only added, or removed all together, so hosts need no coordination beyond that. One waiting request no longer blocks those behind it that don't wait for a test.

--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -21,6 +21,8 @@
     /** The limits that its targets have named leave no turn to this host soon. */
     OverLimit,
     NoBudget,
+    /** The request has ended too many targets. @see suspect_requests */
+    Suspect,
     /** Its attempts failed, and no further one is allowed. */
     Exhausted,
     /** Its last attempt has not ended in time. */
@@ -94,6 +96,11 @@
     /** Baseline for the latency of this attempt. @see target::recordOutcome */
     duration baselineLatency{0};
     bool isIdempotent = false;
+    /** The request that it sends, and the life of the target that gets it. */
+    request_fingerprint fingerprint;
+    target_life life;
+    /** Whether it is the test of a suspect request. @see suspect_requests */
+    bool isTest = false;
     /** Whether the target ended the connection before it sent any of an answer. */
     bool hasTargetLeft = false;
     /** When to cancel it; set once its request has ended. */
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -62,6 +62,7 @@
     const logger &log;
     serving_metrics &metrics;
     target_directory &directory;
+    suspect_requests &suspects;
 };
 
 /**
@@ -119,7 +120,8 @@
         [[nodiscard]] bool isHopeless() const
         {
             return missingReason == missing_shard_reason::NoTarget
-                || missingReason == missing_shard_reason::OverLimit;
+                || missingReason == missing_shard_reason::OverLimit
+                || missingReason == missing_shard_reason::Suspect;
         }
     };
 
@@ -159,6 +161,8 @@
     bool tryAdmit(active_query &query);
     void admitPending();
     [[nodiscard]] target_choice chooseTarget(const active_query &query, std::size_t shardIndex);
+    /** Returns why a request must not be sent now, or nothing. @see suspect_requests */
+    [[nodiscard]] std::optional<missing_shard_reason> sendRestriction(const active_query &query);
     bool tryStartAttempt(active_query &query, std::size_t shardIndex);
     void startAttempt(active_query &query, std::size_t shardIndex, const target_choice &choice);
     void waitForCapacity(active_query &query, std::size_t shardIndex, time_point until);
@@ -171,6 +175,10 @@
     void recordReports(const attempt &finishedAttempt, const target_answer &answer);
     void recordLimit(target &reporter, const attempt &finishedAttempt, const target_answer &answer);
     void recordObservation(const attempt &finishedAttempt, target_observation observation);
+    /** Records what the end of an attempt shows about its request. */
+    void recordSuspicion(const attempt &finishedAttempt, attempt_outcome outcome,
+                         const std::optional<target_answer> &answer);
+    [[nodiscard]] bool hasAnswer(query_number number) const;
     void handleAttemptOutcome(const attempt &finishedAttempt, attempt_outcome outcome,
                               std::optional<target_answer> answer);
     void retry(active_query &query, std::size_t shardIndex);
--- a/include/mustardcourse/serving/query_service_admission.h
+++ b/include/mustardcourse/serving/query_service_admission.h
@@ -70,6 +70,11 @@
     }
     for (std::size_t shardIndex = 0; shardIndex < query.shards.size(); ++shardIndex) {
         const target_choice &choice = choices[shardIndex];
+        const bool isTestRunning = sendRestriction(query).has_value();
+        if (isTestRunning) {
+            waitForCapacity(query, shardIndex, query.progress.parameters().end);
+            continue;
+        }
         if (choice.selectedTarget != nullptr) {
             startAttempt(query, shardIndex, choice);
             continue;
@@ -96,7 +101,8 @@
             continue;
         }
         active_query &query = *found->second;
-        if (waitingRoutes.contains(query.matchedRoute->name))
+        const bool isTestAwaited = sendRestriction(query) == missing_shard_reason::NoCapacity;
+        if (isTestAwaited || waitingRoutes.contains(query.matchedRoute->name))
             continue;
         const time_point until = std::exchange(query.waitUntil, time_point::max());
         if (!tryAdmit(query)) {
@@ -123,10 +129,27 @@
         query.matchedRoute->priority, query.progress.parameters().end, query.number, shardIndex);
 }
 
+template <request_format Format>
+std::optional<missing_shard_reason>
+query_service<Format>::sendRestriction(const active_query &query)
+{
+    switch (m_environment.suspects.permissionFor(query.callerRequest->fingerprint)) {
+    case send_permission::Granted:
+        return std::nullopt;
+    case send_permission::Awaited:
+        return missing_shard_reason::NoCapacity;
+    case send_permission::Denied:
+        break;
+    }
+    return missing_shard_reason::Suspect;
+}
+
 template <request_format Format>
 typename query_service<Format>::target_choice
 query_service<Format>::chooseTarget(const active_query &query, std::size_t shardIndex)
 {
+    if (const auto restriction = sendRestriction(query))
+        return {nullptr, *restriction, 1};
     const query_shard &shard = query.shards[shardIndex];
     const service_parameters *parameters = query.activeConfiguration->findService(shard.service);
     const std::size_t maximumConnections =
@@ -227,25 +250,27 @@
     if (found == m_waitingShards.end())
         return;
     std::set<waiting_shard_key> &waitingShards = found->second;
-    while (!waitingShards.empty()) {
-        const auto [priority, end, number, shardIndex] = *waitingShards.begin();
+    const std::vector<waiting_shard_key> keys(waitingShards.begin(), waitingShards.end());
+    for (const waiting_shard_key &key : keys) {
+        const auto [priority, end, number, shardIndex] = key;
         const auto waitingQuery = m_queries.find(number);
-        if (waitingQuery != m_queries.end()) {
-            active_query &query = *waitingQuery->second;
-            const bool isSent = tryStartAttempt(query, shardIndex);
-            if (!isSent
-                && query.shards[shardIndex].missingReason == missing_shard_reason::NoCapacity)
-                return;
-            if (!isSent)
-                query.progress.giveUp(shardIndex);
-            query.shards[shardIndex].isWaitingForCapacity = false;
-            waitingShards.erase(waitingShards.begin());
-            finishOrSchedule(query);
+        const bool isGone = waitingQuery == m_queries.end() || !waitingShards.contains(key);
+        if (isGone) {
+            waitingShards.erase(key);
             continue;
         }
-        waitingShards.erase(waitingShards.begin());
+        active_query &query = *waitingQuery->second;
+        if (sendRestriction(query) == missing_shard_reason::NoCapacity)
+            continue;
+        const bool isSent = tryStartAttempt(query, shardIndex);
+        if (!isSent && query.shards[shardIndex].missingReason == missing_shard_reason::NoCapacity)
+            return;
+        if (!isSent)
+            query.progress.giveUp(shardIndex);
+        query.shards[shardIndex].isWaitingForCapacity = false;
+        waitingShards.erase(key);
+        finishOrSchedule(query);
     }
-    m_waitingShards.erase(service);
 }
 
 template <request_format Format>
--- a/include/mustardcourse/serving/query_service_answers.h
+++ b/include/mustardcourse/serving/query_service_answers.h
@@ -88,6 +88,9 @@
 {
     duration longest = m_settings.retryAfter;
     for (const query_shard &shard : query.shards) {
+        if (shard.missingReason == missing_shard_reason::Suspect)
+            return std::max(longest,
+                            m_environment.suspects.remainingTime(query.callerRequest->fingerprint));
         if (shard.missingReason != missing_shard_reason::NoTarget)
             continue;
         if (const auto pauseEnd = m_environment.directory.earliestPauseEnd(shard.service))
@@ -142,7 +145,7 @@
          {"ms", query_details::wholeMilliseconds(elapsed).count()},
          {"retries", query.retryCount},
          {"hedges", query.hedgeCount},
-         {"request", query_details::textOf(query.callerRequest->fingerprint)},
+         {"request", textOf(query.callerRequest->fingerprint)},
          {"gaps", missingShards}});
     if (outcome == "refused")
         logMissingCapacity(query);
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -58,6 +58,16 @@
         newAttempt.baselineLatency, selectedTarget.queueingFactor(newAttempt.baselineLatency, now));
     newAttempt.isIdempotent = isIdempotent;
     newAttempt.statistics = query.statistics;
+    newAttempt.fingerprint = query.callerRequest->fingerprint;
+    newAttempt.life = query_details::lifeOf(selectedTarget.registration());
+    newAttempt.isTest = m_environment.suspects.recordSent(newAttempt.fingerprint);
+    if (newAttempt.isTest) {
+        m_environment.metrics.suspectTests.Increment();
+        m_environment.log.info("suspect-test",
+                               {{"id", query.callerRequest->id.value()},
+                                {"request", textOf(newAttempt.fingerprint)},
+                                {"target", newAttempt.instance.value()}});
+    }
     shard.triedTargets.push_back(newAttempt.instance);
     shard.missingReason = missing_shard_reason::Late;
     selectedTarget.recordSent(now);
@@ -118,7 +128,10 @@
         recordObservation(finishedAttempt, target_observation::Failure);
         break;
     }
+    recordSuspicion(finishedAttempt, outcome, answer);
     handleAttemptOutcome(finishedAttempt, outcome, std::move(answer));
+    if (finishedAttempt.isTest)
+        return retryWaitingRequests();
     retryWaitingShards(finishedAttempt.service);
     admitPending();
 }
@@ -184,6 +197,33 @@
                                         m_environment.time.now(), finishedAttempt.baselineLatency);
 }
 
+template <request_format Format>
+bool query_service<Format>::hasAnswer(query_number number) const
+{
+    const auto found = m_queries.find(number);
+    return found != m_queries.end() && found->second->progress.answeredCount() > 0;
+}
+
+template <request_format Format>
+void query_service<Format>::recordSuspicion(const attempt &finishedAttempt, attempt_outcome outcome,
+                                            const std::optional<target_answer> &answer)
+{
+    suspect_requests &suspects = m_environment.suspects;
+    const request_fingerprint fingerprint = finishedAttempt.fingerprint;
+    const bool wasRun = outcome != attempt_outcome::NotRun && outcome != attempt_outcome::NotSent;
+    const bool hasTargetAnswered = wasRun && answer && !answer->signature.empty();
+    if (hasTargetAnswered && suspects.recordAnswer(fingerprint))
+        m_environment.log.info("suspect-cleared", {{"request", textOf(fingerprint)}});
+    else if (finishedAttempt.hasTargetLeft && !hasAnswer(finishedAttempt.queryNumber))
+        suspects.recordEndedTarget(fingerprint, finishedAttempt.life);
+    if (!finishedAttempt.isTest)
+        return;
+    if (wasRun)
+        suspects.recordTestUnanswered(fingerprint);
+    else
+        suspects.recordTestNotRun(fingerprint);
+}
+
 template <request_format Format>
 void query_service<Format>::handleAttemptOutcome(const attempt &finishedAttempt,
                                                  attempt_outcome outcome,
@@ -204,14 +244,13 @@
     } else if (canForwardResponse && answer && !query.matchedRoute->queriesAllShards())
         query.lastFailure = std::move(answer);
     if (outcome != attempt_outcome::Answered) {
-        m_environment.log.writeRateLimited(
-            "attempt-ended",
-            {{"id", query.callerRequest->id.value()},
-             {"target", finishedAttempt.instance.value()},
-             {"service", finishedAttempt.service.value()},
-             {"end", query_details::nameOf(outcome)},
-             {"target_left", finishedAttempt.hasTargetLeft},
-             {"request", query_details::textOf(query.callerRequest->fingerprint)}});
+        m_environment.log.writeRateLimited("attempt-ended",
+                                           {{"id", query.callerRequest->id.value()},
+                                            {"target", finishedAttempt.instance.value()},
+                                            {"service", finishedAttempt.service.value()},
+                                            {"end", query_details::nameOf(outcome)},
+                                            {"target_left", finishedAttempt.hasTargetLeft},
+                                            {"request", textOf(query.callerRequest->fingerprint)}});
         // The attempt did not reach the target, so it caused none of the load that the budget
         // limits.
         if (outcome == attempt_outcome::NotSent && shard.triedTargets.size() > 1)
@@ -343,6 +382,8 @@
         m_connections.cancel(abandonedAttempt.instance, abandonedAttempt.exchange);
         m_environment.metrics.countAttempt("cancelled");
         recordObservation(abandonedAttempt, target_observation::Cancelled);
+        if (abandonedAttempt.isTest)
+            m_environment.suspects.recordTestUnanswered(abandonedAttempt.fingerprint);
         freedServices.insert(abandonedAttempt.service);
         attemptEntry = m_attempts.erase(attemptEntry);
     }
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -2,6 +2,7 @@
 
 // Definitions of query_service; include query_service.h instead.
 
+#include <mustardcourse/core/hash.h>
 #include <mustardcourse/serving/query_service.h>
 
 namespace mustardcourse::serving {
@@ -30,10 +31,10 @@
     return std::chrono::floor<std::chrono::milliseconds>(time);
 }
 
-/** Returns a fingerprint as it is written to logs and keys. */
-inline std::string textOf(request_fingerprint fingerprint)
+/** Returns the life of a target from its last start on. */
+inline target_life lifeOf(const target_registration &registration)
 {
-    return fmt::format("{:016x}", fingerprint.value());
+    return target_life(stableHash(registration.instance.value(), registration.order.startedAt));
 }
 
 inline std::string_view nameOf(attempt_outcome outcome)
--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -3,6 +3,7 @@
 #include <mustardcourse/http/caller_server.h>
 #include <mustardcourse/http/message.h>
 #include <mustardcourse/serving/scatter.h>
+#include <mustardcourse/serving/suspect_requests.h>
 #include <mustardcourse/serving/target_directory.h>
 
 #include <concepts>
@@ -12,10 +13,6 @@
 
 namespace mustardcourse::serving {
 
-/** Hash of what makes two requests of callers the same one under different ids: host name, method,
-    path, query and body. */
-using request_fingerprint = strong_value<struct request_fingerprint_tag, std::uint64_t>;
-
 /** A caller's request, independent of the message format. */
 struct caller_request
 {
--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -39,6 +39,8 @@
     prometheus::Counter &connectionsOpened;
     prometheus::Counter &targetPauses;
     prometheus::Counter &limitDenials;
+    prometheus::Counter &suspectTests;
+    prometheus::Gauge &suspects;
     prometheus::Counter &storeCalls;
     prometheus::Counter &storeFailures;
     prometheus::Counter &storeListings;
--- a/include/mustardcourse/store/store_port.h
+++ b/include/mustardcourse/store/store_port.h
@@ -5,6 +5,7 @@
 #include <mustardcourse/store/store_position.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,23 @@
     duration lifetime{0};
 };
 
+/** A value to write; it is removed with its lease if it has one. */
+struct store_write
+{
+    std::string key;
+    std::string value;
+    std::optional<lease_id> lease = std::nullopt;
+};
+
+/** Changes that are all made, or none of them. */
+struct store_transaction
+{
+    /** Keys that must not exist; otherwise the transaction fails with store_failure::Conflict. */
+    std::vector<std::string> absentKeys = {};
+    std::vector<store_write> writes = {};
+    std::vector<std::string> removedKeys = {};
+};
+
 using batch_handler = std::function<void(store_batch &&)>;
 using lease_handler = std::function<void(lease_grant &&)>;
 using completion_handler = std::function<void(store_failure)>;
--- a/modules/serving/query.cpp
+++ b/modules/serving/query.cpp
@@ -15,6 +15,8 @@
         return "over-limit";
     case missing_shard_reason::NoBudget:
         return "no-budget";
+    case missing_shard_reason::Suspect:
+        return "suspect";
     case missing_shard_reason::Exhausted:
         return "exhausted";
     case missing_shard_reason::Late:
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -55,6 +55,10 @@
                            "Refusals with which targets requested a pause"))
     , limitDenials(counter(m_registry, "mustardcourse_limit_denials_total",
                            "Attempts that the limits which targets have named did not allow"))
+    , suspectTests(counter(m_registry, "mustardcourse_suspect_tests_total",
+                           "Requests sent to one target as a test, as targets ended under them"))
+    , suspects(gauge(m_registry, "mustardcourse_suspects",
+                     "Requests under which targets have ended without an answer since"))
     , storeCalls(counter(m_registry, "mustardcourse_store_calls_total", "Calls to the store"))
     , storeFailures(counter(m_registry, "mustardcourse_store_failures_total",
                             "Calls to the store that were refused or not answered"))
