A failure of a target clears no suspect request

Cause: any complete response with a signature cleared a request, also a 500 or a 504 of a target that gave it up at its deadline and so may not have run the part that ends it.

Change: only an answer below status 500 clears a request.

Measured: 'a target that fails a request without an answer does not clear it' failed before (19 requests too late, 12 targets ended) and passes (0, 4).

--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -211,7 +211,9 @@
     suspect_requests &suspects = m_environment.suspects;
     const request_fingerprint fingerprint = finishedAttempt.fingerprint;
     const bool wasRun = outcome != attempt_outcome::NotRun && outcome != attempt_outcome::NotSent;
-    const bool hasTargetAnswered = wasRun && answer && !answer->signature.empty();
+    // A target that fails a request, or gives it up at its deadline, may not have run all of it.
+    const bool isFailure = answer && answer->response.status >= query_details::firstFailureStatus;
+    const bool hasTargetAnswered = wasRun && answer && !answer->signature.empty() && !isFailure;
     if (hasTargetAnswered && suspects.recordAnswer(fingerprint))
         m_environment.log.info("suspect-cleared", {{"request", textOf(fingerprint)}});
     else if (finishedAttempt.hasTargetLeft && !hasAnswer(finishedAttempt.queryNumber))
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -23,6 +23,8 @@
 constexpr double reservedFraction = 0.25;
 /** Quantile of the timer delays that the answer margin allows for. */
 constexpr double timerDelayQuantile = 0.9;
+/** Lowest HTTP status with which a target says that it failed. */
+constexpr int firstFailureStatus = 500;
 /** One in this number of ordinary successes is logged. */
 constexpr std::size_t loggedSuccessInterval = 64;
 
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -118,7 +118,10 @@
 
     void finishWork()
     {
-        if (m_request.target == m_owner.m_crashPath)
+        const bool isCrashPath = m_request.target == m_owner.m_crashPath;
+        const std::size_t crashInterval = m_owner.m_failuresBetweenCrashes + 1;
+        const bool isCrash = isCrashPath && m_owner.m_crashArrivals.size() % crashInterval == 0;
+        if (isCrash)
             return m_owner.crash();
         m_isRunning = false;
         --m_owner.m_runningCount;
@@ -126,7 +129,7 @@
         const std::string serverStamp = m_owner.m_settings.instance + "." + id;
         const std::string body = m_owner.body();
         const std::string firstHalf = body.substr(0, body.size() / 2);
-        switch (m_owner.m_fault) {
+        switch (isCrashPath ? target_fault::ServerError : m_owner.m_fault) {
         case target_fault::None:
         case target_fault::Shed:
         case target_fault::ConnectionClosed:
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -86,11 +86,13 @@
     void setNamedLimit(std::string rate) { m_namedLimit = std::move(rate); }
 
     /** Makes the target end at the end of each run of a path: its connections are closed and new
-        ones refused for a time. Then it has started again, but not registered. */
-    void crashOn(std::string path, duration downTime)
+        ones refused for a time. Then it has started again, but not registered.
+        @param failuresBetween  runs between two ends that it answers with status 500 */
+    void crashOn(std::string path, duration downTime, std::size_t failuresBetween = 0)
     {
         m_crashPath = std::move(path);
         m_downTime = downTime;
+        m_failuresBetweenCrashes = failuresBetween;
     }
 
     /** Returns when the target has ended for a request. */
@@ -159,6 +161,7 @@
     http::request m_lastRequest;
     std::string m_crashPath;
     duration m_downTime{0};
+    std::size_t m_failuresBetweenCrashes = 0;
     std::vector<time_point> m_crashTimes;
     std::vector<time_point> m_crashArrivals;
     net::timer m_startTimer;
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -252,6 +252,15 @@
         checkRepetitions(testCase);
 }
 
+TEST_CASE("a target that fails a request without an answer does not clear it")
+{
+    checkRepetitions({"targets that fail three of four runs", "/one/x", 200ms, 50,
+                      [](fleet_fixture &f, std::size_t) {
+                          for (const auto &target : f.targets)
+                              target->crashOn("/one/x", 500ms, 3);
+                      }});
+}
+
 TEST_CASE("hosts that restart and a store that fails forget no request that ends its targets")
 {
     const auto restartHosts = [](fleet_fixture &f, std::size_t round) {
