--- a/tests/single_host_fixture.h
+++ b/tests/single_host_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "blocking_connection.h"
 #include "loop_fixture.h"
 #include "platform_store.h"
 #include "platform_target.h"
@@ -110,6 +111,19 @@
         return std::move(result->answer);
     }
 
+    /** Sends the bytes of a request of a caller and returns the whole response. */
+    std::string request(const std::string &bytes)
+    {
+        const blocking_connection connection(callerPort);
+        connection.send(bytes);
+        std::string received;
+        runUntil([&] {
+            received += connection.receive();
+            return received.find("\r\n\r\n") != std::string::npos;
+        });
+        return received;
+    }
+
     /** Returns the version of the configuration that the host follows. */
     std::uint64_t activeVersion()
     {
