A planned stop answers what it cannot finish and takes no request that it may not finish

What callers saw: requests that were running 300 ms before the end of the grace period were cut without an answer; requests that came late in the grace period (the rest of a request on an open connection) were sent to targets although they could not end in time, also those that must not be repeated.

Cause: the stop waited for connections to close and then ended the process; the request path didn't know of the end.

--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -100,6 +100,19 @@
     /** Sets the settings for requests that start from now on. */
     void setSettings(const query_settings &settings, const shared_retry_limits &retryLimits);
 
+    /**
+        Prepares the end of service.
+
+        @param lateFrom  from then on requests are taken only if they are expected to end in time;
+                         those that must not be repeated, only if they certainly do
+        @param end       when endService() will be called
+    */
+    void prepareEnd(time_point lateFrom, time_point end) { m_serviceEnd = {lateFrom, end}; }
+
+    /** Answers all running requests, with a failure if they lack answers, and refuses further ones.
+     */
+    void endService();
+
     /** Closes connections to targets that are gone or have restarted. Call it periodically. */
     void closeUnused() { m_connections.closeUnused(m_environment.directory); }
 
@@ -128,7 +141,19 @@
     /** Orders the shards that wait for capacity: the most urgent first, then the earliest end. */
     using waiting_shard_key = std::tuple<route_priority, time_point, query_number, std::size_t>;
 
+    /** When this host stops serving. @see prepareEnd */
+    struct service_end
+    {
+        time_point lateFrom = time_point::max();
+        time_point end = time_point::max();
+        bool isOver = false;
+    };
+
     void dispatch(std::unique_ptr<http::caller_exchange> exchange);
+    /** Returns whether a request might not end before this host stops serving. */
+    [[nodiscard]] bool isTooLateToServe(const http::caller_exchange &exchange,
+                                        const caller_request &callerRequest,
+                                        const route &matchedRoute) const;
     void dispatchHeldRequests();
     void start(std::unique_ptr<http::caller_exchange> exchange, caller_request callerRequest,
                const route &matchedRoute);
@@ -231,6 +256,7 @@
     net::timer m_turnTimer;
     time_point m_nextTurn = time_point::max();
     bool m_isOpen = false;
+    service_end m_serviceEnd;
 };
 
 } // namespace mustardcourse::serving
--- a/include/mustardcourse/serving/query_service_answers.h
+++ b/include/mustardcourse/serving/query_service_answers.h
@@ -74,7 +74,7 @@
 {
     if (!query.progress.mayHaveRun())
         reason = request_failure::NotRun;
-    else if (m_environment.time.now() >= query.progress.parameters().end)
+    else if (m_serviceEnd.isOver || m_environment.time.now() >= query.progress.parameters().end)
         reason = request_failure::TimedOut;
     else
         reason = request_failure::TargetsFailed;
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -139,9 +139,36 @@
         m_configuration->match(callerRequest->hostName, exchange->receivedRequest().target);
     if (matchedRoute == nullptr)
         return refuse(request_failure::NoRoute);
+    if (isTooLateToServe(*exchange, *callerRequest, *matchedRoute))
+        return refuse(request_failure::NotRun);
     start(std::move(exchange), std::move(*callerRequest), *matchedRoute);
 }
 
+template <request_format Format>
+bool query_service<Format>::isTooLateToServe(const http::caller_exchange &exchange,
+                                             const caller_request &callerRequest,
+                                             const route &matchedRoute) const
+{
+    const time_point now = m_environment.time.now();
+    if (m_serviceEnd.isOver || now < m_serviceEnd.lateFrom)
+        return m_serviceEnd.isOver;
+    if (matchedRoute.isIdempotent)
+        return now + matchedRoute.latencyObjective > m_serviceEnd.end;
+    const auto deadline = callerRequest.deadline.value_or(matchedRoute.timeout);
+    return exchange.begin() + std::min(deadline, matchedRoute.timeout) > m_serviceEnd.end;
+}
+
+template <request_format Format>
+void query_service<Format>::endService()
+{
+    m_serviceEnd.isOver = true;
+    dispatchHeldRequests();
+    while (!m_queries.empty()) {
+        active_query &query = *m_queries.begin()->second;
+        finish(query, query.progress.decision(time_point::max()));
+    }
+}
+
 template <request_format Format>
 std::shared_ptr<route_statistics> query_service<Format>::statisticsOf(const route &matchedRoute)
 {
