--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -138,6 +138,10 @@
         case target_fault::ServerError:
             return m_stream->write(formatResponse(
                 500, id, serverStamp, reportHeaders() + contentLength(firstHalf), firstHalf));
+        case target_fault::TruncatedHead:
+            m_stream->write(formatResponse(200, id, serverStamp, contentLength(body), "")
+                                .substr(0, m_owner.m_sentHeadBytes));
+            return m_stream->finish();
         case target_fault::TruncatedBody:
             m_stream->write(formatResponse(200, id, serverStamp,
                                            reportHeaders() + contentLength(body), firstHalf));
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -19,6 +19,8 @@
     Shed,
     /** Runs the request and responds with status 500. */
     ServerError,
+    /** Runs the request, sends a part of the response head and closes the connection. */
+    TruncatedHead,
     /** Runs the request, sends half of the response body and closes the connection. */
     TruncatedBody,
     /** Runs the request and never responds. */
@@ -76,6 +78,8 @@
     platform_target &operator=(const platform_target &) = delete;
 
     void setFault(target_fault fault) { m_fault = fault; }
+    /** Sets how many bytes of the head target_fault::TruncatedHead sends. */
+    void setSentHeadBytes(std::size_t count) { m_sentHeadBytes = count; }
     /** Sets whether every response states that the target leaves; it continues to serve. */
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
 
@@ -147,6 +151,7 @@
     endpoint m_address;
     platform_target_settings m_settings;
     target_fault m_fault = target_fault::None;
+    std::size_t m_sentHeadBytes = 0;
     bool m_isLeaving = false;
     std::string m_requestedPause;
     std::string m_namedLimit;
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -106,6 +106,13 @@
         {"start is a string", [](json &document) { document["born"] = "today"; }},
         {"start is a fraction", [](json &document) { document["born"] = 1.5; }},
         {"cold time is a list", [](json &document) { document["WarmupLeftMs"] = json::array(); }},
+        {"cold time longer than a year",
+         [](json &document) { document["WarmupLeftMs"] = 9007199254740992; }},
+        {"nested too deeply",
+         [](json &document) {
+             for (int depth = 0; depth < 20; ++depth)
+                 document["Zone"] = json::array({document["Zone"]});
+         }},
         {"not an object", [](json &document) { document = json::array(); }},
     };
     CHECK(readRegistration("i-1", registrationDocument().dump()).order.startedAt == 1700000000000);
@@ -115,6 +122,10 @@
         item.corrupt(document);
         CHECK_THROWS_AS(readRegistration("i-1", document.dump()), document_error);
     }
+    for (const char *id : {"", "i 1", "i\r\nX-Attempt-Id: 2", "i\x7f", "i\xc3\xa4"}) {
+        CAPTURE(id);
+        CHECK_THROWS_AS(readRegistration(id, registrationDocument().dump()), document_error);
+    }
     CHECK_THROWS_AS(readRegistration("i-1", "\xff\xfe"), document_error);
     CHECK_THROWS_AS(readConfiguration("{}"), document_error);
     CHECK_THROWS_AS(readConfiguration("{\"ConfigVersion\":1,\"Routes\":[1],\"Services\":[]}"),
--- /dev/null
+++ b/tests/truncated_head_test.cpp
@@ -0,0 +1,69 @@
+// Guards against answers that callers take for whole although the target stopped in the middle of
+// the head and closed.
+
+#include "single_host_fixture.h"
+
+using namespace mustardcourse;
+using namespace std::chrono_literals;
+using tests::single_host_fixture;
+
+namespace {
+
+void writeRoutes(single_host_fixture &fixture)
+{
+    using nlohmann::json;
+    json routes = json::array();
+    const auto addRoute = [&](const std::string &name, const std::string &type) -> json & {
+        routes.push_back({{"Name", name},
+                          {"Host", "h"},
+                          {"PathPrefix", fmt::format("/{}/", name)},
+                          {"RouteType", type},
+                          {"TimeoutMs", 5000},
+                          {"TargetLatencyMs", 2000},
+                          {"Priority", 1},
+                          {"MaxAttempts", 2}});
+        return routes.back();
+    };
+    addRoute("idempotent", "idempotent")["Service"] = "s1";
+    addRoute("once", "non_idempotent")["Service"] = "s1";
+    json &lookup = addRoute("lookup", "idempotent");
+    lookup["FanoutServices"] = {"s1"};
+    lookup["ResultCount"] = 5;
+    lookup["MinShardShare"] = 1;
+    const json service{{"Name", "s1"}, {"HealthPath", "/health"}, {"MaxConnections", 20}};
+    fixture.store.put(
+        "op/config",
+        json{{"ConfigVersion", 1}, {"Routes", routes}, {"Services", {service}}}.dump());
+}
+
+} // namespace
+
+TEST_CASE("a target that closes in the middle of the head of its answer gives callers no success")
+{
+    single_host_fixture f;
+    f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
+    writeRoutes(f);
+    f.startHost(single_host_fixture::hostSettings());
+    f.target.setFault(standins::target_fault::TruncatedHead);
+    f.target.setWorkTime(0ms);
+    const std::string head = "HTTP/1.1 200 Answer\r\nX-Attempt-Id: id\r\nX-Server-Stamp: i-0.id\r\n"
+                             "X-Server-Load: 1,0,2\r\nContent-Length: 64\r\n\r\n";
+    for (const char *route : {"idempotent", "once", "lookup"}) {
+        CAPTURE(route);
+        for (std::size_t sentBytes = 0; sentBytes <= head.size(); ++sentBytes) {
+            CAPTURE(sentBytes);
+            f.target.setSentHeadBytes(sentBytes);
+            const std::string received = f.request(fmt::format(
+                "GET /{}/{} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n\r\n", route, sentBytes));
+            CHECK(received.starts_with("HTTP/1.1 50"));
+            // A failing target is avoided for a while.
+            f.target.setFault(standins::target_fault::None);
+            f.runUntil([&] {
+                return f
+                    .request("GET /idempotent/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n\r\n")
+                    .starts_with("HTTP/1.1 200");
+            });
+            f.target.setFault(standins::target_fault::TruncatedHead);
+        }
+    }
+}
