--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -71,11 +72,14 @@
     platform(net::loop &loop, const mustardcourse::clock &clock)
         : m_store(loop, clock, endpoint::parse(absl::GetFlag(FLAGS_store)))
         , m_shards(absl::GetFlag(FLAGS_shards))
+        , m_registrationTimer(loop, [this] { registerStartedTargets(); })
     {
         for (std::uint32_t index = 0; index < m_shards * dataCentres.size(); ++index)
             startTarget(loop, clock, index);
         registerTargets();
         writeConfiguration(1);
+        m_registeredCrashes.resize(m_targets.size());
+        registerStartedTargets();
     }
 
     [[nodiscard]] standins::platform_store &store() noexcept { return m_store; }
@@ -89,6 +93,12 @@
             return std::to_string(mostRunsOfOneBooking());
         if (command == "/booking-runs")
             return listBookingRuns();
+        if (command == "/crashes")
+            return listCrashes();
+        if (words.size() >= 3 && words[0] == "crash-on") {
+            crashOn(words);
+            return "";
+        }
         const bool isForTarget = words.size() >= 3 && words[0] == "target";
         if (isForTarget)
             return executeAtTarget(words);
@@ -145,6 +155,40 @@
         return lines;
     }
 
+    /** Carries out "crash-on/DOWN-MILLISECONDS/PATH": each run of the path ends its target. */
+    void crashOn(const std::vector<std::string> &words)
+    {
+        const std::string path = "/" + absl::StrJoin(words.begin() + 2, words.end(), "/");
+        for (const auto &target : m_targets)
+            target->crashOn(path, std::chrono::milliseconds(parseNumber(words[1])));
+    }
+
+    /** Returns how often targets have ended, and how many requests for that path have arrived. */
+    [[nodiscard]] std::string listCrashes() const
+    {
+        std::size_t crashes = 0;
+        std::size_t arrivals = 0;
+        for (const auto &target : m_targets) {
+            crashes += target->crashTimes().size();
+            arrivals += target->crashArrivals().size();
+        }
+        return fmt::format("{} {}", crashes, arrivals);
+    }
+
+    /** Registers targets that have started again. */
+    void registerStartedTargets()
+    {
+        constexpr std::chrono::milliseconds interval{100};
+        for (std::size_t index = 0; index < m_targets.size(); ++index) {
+            const std::size_t crashes = m_targets[index]->crashTimes().size();
+            if (!m_targets[index]->isListening() || m_registeredCrashes[index] == crashes)
+                continue;
+            m_registeredCrashes[index] = crashes;
+            registerTarget(index);
+        }
+        m_registrationTimer.start(interval);
+    }
+
     bool executeAtStore(std::string_view command)
     {
         using standins::store_mode;
@@ -202,9 +246,14 @@
     {
         ++m_registrationSequence;
         for (std::size_t index = 0; index < m_targets.size(); ++index)
-            m_store.put(fmt::format("servers/target-{}", index),
-                        m_targets[index]->registration(dataCentres[index % dataCentres.size()],
-                                                       "ready", m_registrationSequence));
+            registerTarget(index);
+    }
+
+    void registerTarget(std::size_t index)
+    {
+        m_store.put(fmt::format("servers/target-{}", index),
+                    m_targets[index]->registration(dataCentres[index % dataCentres.size()], "ready",
+                                                   m_registrationSequence));
     }
 
     void writeConfiguration(std::uint64_t version)
@@ -231,6 +280,9 @@
     standins::platform_store m_store;
     std::uint32_t m_shards;
     std::vector<std::unique_ptr<standins::platform_target>> m_targets;
+    /** By target: how often it had ended when it was last registered. */
+    std::vector<std::size_t> m_registeredCrashes;
+    net::timer m_registrationTimer;
     std::uint64_t m_registrationSequence = 0;
     std::uint64_t m_configurationVersion = 0;
     std::uint64_t m_furtherRoutes = 0;
