An ended target counts against a request only when the request ends without any answer

Cause: evidence was recorded at the loss of an attempt, though the same request may be answered by another target or shard a moment later, or had been answered already.

Change: the lives of ended targets are kept with the request and recorded when it ends without any answer; an attempt that outlives its request knows whether that was answered.

--- a/include/mustardcourse/serving/query.h
+++ b/include/mustardcourse/serving/query.h
@@ -63,6 +63,8 @@
     /** The latest response of a single target that is a failure or may be truncated. It is
        forwarded if no attempt succeeds. */
     std::optional<target_answer> lastFailure;
+    /** Lives of targets that left while they ran the request. */
+    std::vector<target_life> endedTargets;
     time_point deadline;
     /** When the request started, even if its first attempts then waited for capacity; only set for
         requests that may be hedged. */
@@ -99,6 +101,8 @@
     /** The request that it sends, and the life of the target that gets it. */
     request_fingerprint fingerprint;
     target_life life;
+    /** Whether its request had got an answer of a target when it ended before this attempt. */
+    bool wasRequestAnswered = false;
     /** Whether it is the test of a suspect request. @see suspect_requests */
     bool isTest = false;
     /** Whether the target ended the connection before it sent any of an answer. */
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -203,7 +203,7 @@
     /** Records what the end of an attempt shows about its request. */
     void recordSuspicion(const attempt &finishedAttempt, attempt_outcome outcome,
                          const std::optional<target_answer> &answer);
-    [[nodiscard]] bool hasAnswer(query_number number) const;
+    void recordEndedTarget(const attempt &finishedAttempt);
     void handleAttemptOutcome(const attempt &finishedAttempt, attempt_outcome outcome,
                               std::optional<target_answer> answer);
     void retry(active_query &query, std::size_t shardIndex);
--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -198,10 +198,14 @@
 }
 
 template <request_format Format>
-bool query_service<Format>::hasAnswer(query_number number) const
+void query_service<Format>::recordEndedTarget(const attempt &finishedAttempt)
 {
-    const auto found = m_queries.find(number);
-    return found != m_queries.end() && found->second->progress.answeredCount() > 0;
+    // An answer of another target proves the request harmless, so its end is awaited.
+    const auto found = m_queries.find(finishedAttempt.queryNumber);
+    if (found != m_queries.end())
+        found->second->endedTargets.push_back(finishedAttempt.life);
+    else if (!finishedAttempt.wasRequestAnswered)
+        m_environment.suspects.recordEndedTarget(finishedAttempt.fingerprint, finishedAttempt.life);
 }
 
 template <request_format Format>
@@ -216,8 +220,8 @@
     const bool hasTargetAnswered = wasRun && answer && !answer->signature.empty() && !isFailure;
     if (hasTargetAnswered && suspects.recordAnswer(fingerprint))
         m_environment.log.info("suspect-cleared", {{"request", textOf(fingerprint)}});
-    else if (finishedAttempt.hasTargetLeft && !hasAnswer(finishedAttempt.queryNumber))
-        suspects.recordEndedTarget(fingerprint, finishedAttempt.life);
+    else if (finishedAttempt.hasTargetLeft)
+        recordEndedTarget(finishedAttempt);
     if (!finishedAttempt.isTest)
         return;
     if (wasRun)
@@ -348,12 +352,21 @@
 {
     const time_point now = m_environment.time.now();
     const auto found = m_queries.find(number);
-    const time_point deadline = found == m_queries.end() ? now : found->second->deadline;
+    if (found == m_queries.end())
+        return;
+    const active_query &query = *found->second;
+    const time_point deadline = query.deadline;
+    const bool isAnswered = query.progress.answeredCount() > 0;
+    if (!isAnswered) {
+        for (const target_life life : query.endedTargets)
+            m_environment.suspects.recordEndedTarget(query.callerRequest->fingerprint, life);
+    }
     bool hasAttemptToCancel = false;
     for (auto &[attemptNumber, abandonedAttempt] : m_attempts) {
         if (abandonedAttempt.queryNumber != number)
             continue;
         abandonedAttempt.queryNumber = 0;
+        abandonedAttempt.wasRequestAnswered = isAnswered;
         // A non-idempotent request may run until its deadline, as cancelling would leave its result
         // unknown; then the target stops its work as well.
         const time_point end = abandonedAttempt.isIdempotent ? now : std::max(now, deadline);
