--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -125,11 +125,16 @@
             return m_owner.crash();
         m_isRunning = false;
         --m_owner.m_runningCount;
+        respond(isCrashPath ? target_fault::ServerError : m_owner.m_fault);
+    }
+
+    void respond(target_fault fault)
+    {
         const std::string id = header("X-Attempt-Id");
         const std::string serverStamp = m_owner.m_settings.instance + "." + id;
         const std::string body = m_owner.body();
         const std::string firstHalf = body.substr(0, body.size() / 2);
-        switch (isCrashPath ? target_fault::ServerError : m_owner.m_fault) {
+        switch (fault) {
         case target_fault::None:
         case target_fault::Shed:
         case target_fault::ConnectionClosed:
