A request for a test is not held up by one that has just ended

Cause: the timer of suspect_sharing compares how many tests are requested with how many requests run; after the end of one nothing started the timer for another one that had been requested meanwhile, so it waited for the next change. By reading; no run showed it.

Change: the end of a request for a test schedules the next call. Comments of suspect_requests reworded.

--- a/include/mustardcourse/serving/suspect_requests.h
+++ b/include/mustardcourse/serving/suspect_requests.h
@@ -54,10 +54,9 @@
 /**
     Requests that are suspected of ending the targets that run them.
 
-    A target that ends names every request that it was running, so the loss of one target proves
-    nothing. A request that has lost several targets one after the other, without an answer in
-    between, is sent to one more target as a test, by one host of all. Its answer clears the
-   request; if that target ends too, the request is denied everywhere.
+    Every request that a target is running when it ends is suspect, so one ended target proves
+    nothing. After several, without an answer since, a request is sent to one more target as a
+    test, by one host of all. An answer clears it; if there is none, it is denied at all hosts.
 
     The hosts share what they know as entries with unique names, which suspect_sharing writes to the
     store: one for each life of a target that has ended, and one for the test. They are only added,
@@ -72,7 +71,7 @@
     /** Sets a handler that is called when there is something to share. */
     void onChange(std::function<void()> handler) { m_onChange = std::move(handler); }
 
-    /** Returns whether a request may be sent. If a test is needed, requests the permission for it.
+    /** Returns whether a request may be sent, and requests permission for a test if it needs one.
      */
     [[nodiscard]] send_permission permissionFor(request_fingerprint fingerprint);
 
@@ -83,8 +82,8 @@
     /** Records that a target ended while it ran a request. */
     void recordEndedTarget(request_fingerprint fingerprint, target_life life);
 
-    /** Records that a target answered a request, which clears it. @returns whether it was suspect
-     */
+    /** Records that a target answered a request, which clears it.
+        @returns whether it was suspect */
     bool recordAnswer(request_fingerprint fingerprint);
 
     /** Records that the test was not run by any target, so that another one is allowed. */
--- a/include/mustardcourse/serving/suspect_sharing.h
+++ b/include/mustardcourse/serving/suspect_sharing.h
@@ -124,6 +124,7 @@
         }
         m_suspects.endTestRequest(fingerprint, isGranted);
         m_onTestDecided();
+        schedule();
     }
 
     void writeOrRemove()
--- a/modules/serving/suspect_requests.cpp
+++ b/modules/serving/suspect_requests.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::string_view testPart = "test";
-/** Delay before an ended target is shared: most requests are answered by another one meanwhile. */
+/** Delay before an ended target is shared, as the caller's next try may be answered meanwhile. */
 constexpr std::chrono::milliseconds shareDelay{50};
 constexpr std::size_t fingerprintDigits = 16;
 /** Maximum size of a value; longer ones are of another writer. */
