--- a/tests/configuration_change_test.cpp
+++ b/tests/configuration_change_test.cpp
@@ -1,5 +1,4 @@
-// Guards against hosts that keep a part of an older configuration, or that do not take in the
-// newest one, as its changes come in a burst.
+// Guards against hosts that use a part of an older configuration or fall behind the newest one.
 
 #include "blocking_connection.h"
 #include "single_host_fixture.h"
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -1,5 +1,4 @@
-// Guards against a request that ends each target that runs it and is sent to one target after the
-// other, as every host takes each repetition for a new request.
+// Guards against a request that ends its targets and is sent to one target after the other.
 
 #include "loop_fixture.h"
 #include "platform_store.h"
--- a/tests/late_stop_test.cpp
+++ b/tests/late_stop_test.cpp
@@ -1,5 +1,4 @@
-// Guards against a planned stop that takes requests late in its grace period and cuts them at the
-// end of it, among them requests that must not be sent again.
+// Guards against a planned stop that cuts requests at the end of its grace period.
 
 #include "single_host_fixture.h"
 
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -1,5 +1,4 @@
-// Guards against hosts that end, or that stop following the store, because another writer has left
-// an entry among those of the targets that cannot be used.
+// Guards against hosts that end or stop following the store for an odd entry among the targets.
 
 #include "single_host_fixture.h"
 
--- a/tests/process/crashing_request_test.sh
+++ b/tests/process/crashing_request_test.sh
@@ -1,7 +1,5 @@
 #!/usr/bin/env bash
-# Guards against hosts that together send a request again and again to targets that end when they run
-# it, while hosts are killed, stopped and frozen and the store is restored: ten hosts, seven of them
-# with a relay, for a lookup over all shards and for a request to one target.
+# Guards against hosts that together send a request again and again to targets that end under it.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 source scripts/fleet.sh
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -1,5 +1,4 @@
-// Guards against requests that end their targets and are sent again, and against harmless ones that
-// are denied because they were running when targets ended.
+// Guards against requests that end target after target, and against harmless ones that are denied.
 
 #include "property.h"
 
--- a/tests/truncated_head_test.cpp
+++ b/tests/truncated_head_test.cpp
@@ -1,5 +1,4 @@
-// Guards against answers that callers take for whole although the target stopped in the middle of
-// the head and closed.
+// Guards against answers that callers take for whole although their head was cut.
 
 #include "single_host_fixture.h"
 
