A planned stop accepts the connections that wait before it closes its listener

Callers saw: a connection reset without an answer within a millisecond, 2.6 s after the stop began. Cause: stopAccepting() destroyed the listener; the kernel resets what it has accepted and the process has not.

--- a/include/mustardcourse/http/caller_server.h
+++ b/include/mustardcourse/http/caller_server.h
@@ -112,8 +112,8 @@
     /** From now on, sends every response with "Connection: close" and closes its connection. */
     void closeAfterResponses() noexcept { m_isClosingAfterResponses = true; }
 
-    /** Stops accepting new connections. */
-    void stopAccepting() { m_listener.reset(); }
+    /** Accepts the connections that wait for it and no further ones. */
+    void stopAccepting();
 
     /** Closes the connections that have been idle for at least this time. */
     void closeIdleConnections(duration minimumIdleTime);
--- a/include/mustardcourse/net/stream.h
+++ b/include/mustardcourse/net/stream.h
@@ -96,6 +96,10 @@
     listener(const listener &) = delete;
     listener &operator=(const listener &) = delete;
 
+    /** Accepts the connections that wait in the queue of the kernel, which destroying the listener
+        would reset. */
+    void acceptQueued();
+
 private:
     struct implementation;
     implementation *m_implementation;
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -235,6 +235,13 @@
         connection->extendIdleTime();
 }
 
+void caller_server::stopAccepting()
+{
+    if (m_listener)
+        m_listener->acceptQueued();
+    m_listener.reset();
+}
+
 void caller_server::closeIdleConnections(duration minimumIdleTime)
 {
     const auto connections = m_connections;
--- a/modules/net/stream.cpp
+++ b/modules/net/stream.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 namespace mustardcourse::net {
@@ -218,6 +219,42 @@
     uv_tcp_t tcp{};
     loop *owner = nullptr;
     accept_handler handler;
+
+    uv_stream_t *asStream() { return reinterpret_cast<uv_stream_t *>(&tcp); }
+
+    /** Accepts the connection that libuv has taken from the queue of the kernel. */
+    void acceptNext()
+    {
+        auto *peer = stream::implementation::create(*owner);
+        std::unique_ptr<stream> acceptedStream(new stream(peer));
+        if (uv_accept(asStream(), peer->asStream()) == 0)
+            handOver(std::move(acceptedStream));
+    }
+
+    /** Accepts all connections that wait in the queue of the kernel. */
+    void acceptQueued()
+    {
+        uv_os_fd_t listening = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t *>(&tcp), &listening) != 0)
+            return;
+        int descriptor = -1;
+        while ((descriptor = ::accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC))
+               >= 0) {
+            auto *peer = stream::implementation::create(*owner);
+            std::unique_ptr<stream> acceptedStream(new stream(peer));
+            if (uv_tcp_open(&peer->tcp, descriptor) == 0)
+                handOver(std::move(acceptedStream));
+            else
+                ::close(descriptor);
+        }
+    }
+
+private:
+    void handOver(std::unique_ptr<stream> acceptedStream) const
+    {
+        acceptedStream->m_implementation->applyTimeouts({});
+        handler(std::move(acceptedStream));
+    }
 };
 
 listener::listener(loop &loop, const endpoint &address, accept_handler handler)
@@ -231,18 +268,11 @@
     const sockaddr_in local = socketAddress(address);
     int status = uv_tcp_bind(&self.tcp, reinterpret_cast<const sockaddr *>(&local), 0);
     if (status == 0)
-        status = uv_listen(reinterpret_cast<uv_stream_t *>(&self.tcp), acceptBacklog,
-                           [](uv_stream_t *server, int failure) {
-                               if (failure < 0)
-                                   return;
-                               auto &listening = *static_cast<implementation *>(server->data);
-                               auto *peer = stream::implementation::create(*listening.owner);
-                               std::unique_ptr<stream> acceptedStream(new stream(peer));
-                               if (uv_accept(server, peer->asStream()) != 0)
-                                   return;
-                               peer->applyTimeouts({});
-                               listening.handler(std::move(acceptedStream));
-                           });
+        status = uv_listen(self.asStream(), acceptBacklog, [](uv_stream_t *server, int failure) {
+            if (failure < 0)
+                return;
+            static_cast<implementation *>(server->data)->acceptNext();
+        });
     if (status == 0)
         return;
     uv_close(reinterpret_cast<uv_handle_t *>(&self.tcp),
@@ -251,6 +281,11 @@
         fmt::format("cannot listen on {}: {}", address.toString(), uv_strerror(status)));
 }
 
+void listener::acceptQueued()
+{
+    m_implementation->acceptQueued();
+}
+
 listener::~listener()
 {
     uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->tcp),
