A part is acknowledged in time or goes elsewhere with one target less; tests of parts

The timer now expires a second time after the loop has read; a gatherer starts only within half of the time and sends no second attempt before a time that it is told.

--- a/include/mustardcourse/serving/part_messages.h
+++ b/include/mustardcourse/serving/part_messages.h
@@ -24,6 +24,9 @@
 {
     /** Latest time at which a gatherer starts it; after that, another host does. */
     time_point start;
+    /** Earliest time of a second attempt at a shard. Before it, a sender that hasn't read the
+        acknowledgement may still give the part to another host. */
+    time_point hedges;
     /** Latest time at which it is refused for lack of capacity. */
     time_point refusal;
     /** Time from which it is answered without its missing shards, if enough have answered. */
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -190,6 +190,9 @@
     void startPart(query_number number, const part_request &request, part_handler onEnd);
     void finishPart(active_query &query, scatter_decision decision);
     void cancelParts(const active_query &query);
+    /** Returns whether a lookup that has failed as parts of it were refused should wait for the
+        other parts: if those are refused as well, its caller learns that it was not run. */
+    [[nodiscard]] bool mayBeRefusedWhole(const active_query &query) const;
     /** Returns among how many hosts the limits of the targets of a request are divided. */
     [[nodiscard]] member_counts sharingHosts(const active_query &query);
 
--- a/include/mustardcourse/serving/query_service_answers.h
+++ b/include/mustardcourse/serving/query_service_answers.h
@@ -19,6 +19,10 @@
 void query_service<Format>::finishOrSchedule(active_query &query)
 {
     const scatter_decision decision = query.progress.decision(m_environment.time.now());
+    if (decision == scatter_decision::Fail && mayBeRefusedWhole(query)) {
+        query.waitUntil = query.refusalDeadline;
+        return scheduleWakeUp(query);
+    }
     if (decision != scatter_decision::Wait)
         return finish(query, decision);
     scheduleWakeUp(query);
--- a/include/mustardcourse/serving/query_service_gathering.h
+++ b/include/mustardcourse/serving/query_service_gathering.h
@@ -248,6 +248,7 @@
     query.refusalDeadline = request.times.refusal - answerMargin();
     query.arrival = m_environment.time.now();
     allowHedges(query);
+    query.nextHedgeTime = std::max(query.nextHedgeTime, request.times.hedges);
     if (m_environment.time.now() < parameters.end)
         admitOrQueue(query);
     finishOrSchedule(query);
@@ -274,6 +275,14 @@
     onEnd(std::move(answer));
 }
 
+template <request_format Format>
+bool query_service<Format>::mayBeRefusedWhole(const active_query &query) const
+{
+    return !query.parts.empty() && query.progress.mayHaveRun()
+        && !query.progress.mayEndedAttemptHaveRun() && !m_serviceEnd.isOver
+        && m_environment.time.now() < query.refusalDeadline;
+}
+
 template <request_format Format>
 void query_service<Format>::cancelParts(const active_query &query)
 {
--- a/include/mustardcourse/serving/scatter.h
+++ b/include/mustardcourse/serving/scatter.h
@@ -84,6 +84,9 @@
     /** Returns whether any target may have run the request. */
     [[nodiscard]] bool mayHaveRun() const;
 
+    /** Returns whether the attempts that have ended don't exclude that a target has run it. */
+    [[nodiscard]] bool mayEndedAttemptHaveRun() const;
+
     [[nodiscard]] scatter_decision decision(time_point now) const;
     [[nodiscard]] const scatter_parameters &parameters() const noexcept { return m_parameters; }
 
--- a/modules/serving/gathering_plan.cpp
+++ b/modules/serving/gathering_plan.cpp
@@ -3,6 +3,8 @@
 #include <mustardcourse/core/hash.h>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <numeric>
 #include <tuple>
 
@@ -18,13 +20,18 @@
     return stableHash(host.value(), slot);
 }
 
-/** Returns the hosts in the order of their preference for a slot. */
-std::vector<gatherer> rankedFor(std::uint64_t slot, std::vector<gatherer> hosts)
+/** Returns the hosts in the order of their preference for a slot, which they are assigned by
+    rendezvous hashing. */
+std::vector<const gatherer *> rankedFor(std::uint64_t slot, const std::vector<gatherer> &hosts)
 {
-    std::sort(hosts.begin(), hosts.end(), [slot](const gatherer &left, const gatherer &right) {
-        return rankOf(left.host, slot) > rankOf(right.host, slot);
-    });
-    return hosts;
+    std::vector<std::pair<std::uint64_t, const gatherer *>> ranks;
+    for (const gatherer &host : hosts)
+        ranks.emplace_back(rankOf(host.host, slot), &host);
+    std::sort(ranks.begin(), ranks.end(), std::greater<>());
+    std::vector<const gatherer *> ranked;
+    for (const auto &[rank, host] : ranks)
+        ranked.push_back(host);
+    return ranked;
 }
 
 double coresOf(const std::vector<gatherer> &hosts)
@@ -142,16 +149,12 @@
         return std::tie(right.cores, left.host) < std::tie(left.cores, right.host);
     });
     const double minimumCores = m_parameters.minimumRelativeCores * hosts.front().cores.value();
-    const double minimumSum = m_parameters.minimumGathererShare * coresOf(hosts);
-    double sum = 0;
-    std::size_t count = 0;
-    while (count < hosts.size()
-           && (sum < minimumSum || hosts[count].cores.value() >= minimumCores)) {
-        sum += hosts[count].cores.value();
-        ++count;
-    }
-    hosts.resize(count);
-    return hosts;
+    std::vector<gatherer> strongHosts;
+    std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(strongHosts),
+                 [&](const gatherer &host) { return host.cores.value() >= minimumCores; });
+    const bool areEnough =
+        coresOf(strongHosts) >= m_parameters.minimumGathererShare * coresOf(hosts);
+    return areEnough ? strongHosts : hosts;
 }
 
 gathering_plan::gatherer_sets gathering_plan::setsOf(const std::vector<gatherer> &hosts,
@@ -160,28 +163,32 @@
     const bool needsGatherers = std::any_of(hosts.begin(), hosts.end(), [&](const gatherer &host) {
         return shardCount > shardsPerPart(host.cores);
     });
-    const std::vector<gatherer> candidates = candidatesOf(hosts);
-    if (!needsGatherers || candidates.size() < 2)
+    if (!needsGatherers || hosts.size() < 2)
         return {};
+    const std::vector<gatherer> candidates = candidatesOf(hosts);
     gatherer_sets sets;
     sets.partsPerLookup =
         std::min(dividedUp(shardCount, shardsPerPart(candidates.back().cores)), candidates.size());
+    // Half of the candidates stay free, so that one that leaves is replaced by one of them.
     const std::size_t wantedSets = dividedUp(hosts.size(), m_parameters.hostsPerSet);
-    const std::size_t setCount =
-        std::clamp<std::size_t>(wantedSets, 1, candidates.size() / sets.partsPerLookup);
+    const std::size_t maximumSets =
+        std::max<std::size_t>(candidates.size() / (2 * sets.partsPerLookup), 1);
+    const std::size_t setCount = std::min(wantedSets, maximumSets);
     const std::size_t slotCount = setCount * sets.partsPerLookup;
     const std::size_t maximumSlots = dividedUp(slotCount, candidates.size());
     std::map<host_id, std::size_t> slotsOfHosts;
     for (std::uint64_t slot = 0; slot < slotCount; ++slot) {
-        std::vector<gatherer> ranked = rankedFor(slot, candidates);
+        std::vector<const gatherer *> ranked = rankedFor(slot, candidates);
         const auto first =
-            std::find_if(ranked.begin(), ranked.end(), [&](const gatherer &candidate) {
-                return slotsOfHosts[candidate.host] < maximumSlots;
+            std::find_if(ranked.begin(), ranked.end(), [&](const gatherer *candidate) {
+                return slotsOfHosts[candidate->host] < maximumSlots;
             });
-        ++slotsOfHosts[first->host];
+        ++slotsOfHosts[(*first)->host];
         std::rotate(ranked.begin(), first, first + 1);
         ranked.resize(std::min(ranked.size(), m_parameters.hostsPerPart));
-        sets.hostsOfParts.push_back(std::move(ranked));
+        std::vector<gatherer> &partHosts = sets.hostsOfParts.emplace_back();
+        for (const gatherer *host : ranked)
+            partHosts.push_back(*host);
     }
     return sets;
 }
--- a/modules/serving/part_dispatcher.cpp
+++ b/modules/serving/part_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardcourse::serving {
 
@@ -19,6 +20,8 @@
 constexpr double acknowledgementFraction = 0.25;
 constexpr milliseconds minimumAcknowledgementTime{10};
 constexpr milliseconds maximumAcknowledgementTime{50};
+/** Time from the end of the wait for an acknowledgement until the gatherer knows of it. */
+constexpr milliseconds hedgeMargin{2};
 /** Time for which a host that is silent, or was lost while it gathered, gets no part. Each host has
     to find out for itself and loses time with every trial. */
 constexpr std::chrono::seconds silentHostAvoidance{5};
@@ -46,11 +49,10 @@
     peer(net::loop &loop, const clock &clock, const endpoint &address)
         : pool(loop, clock, address,
                {.maximumConnections = maximumConnections, .responseLimits = answerLimits})
-        , avoidedUntil(clock.now())
     { }
 
     http::client_pool pool;
-    time_point avoidedUntil;
+    time_point avoidedUntil{};
 };
 
 struct part_dispatcher::running_part
@@ -68,6 +70,8 @@
     http::exchange_id exchange = 0;
     bool isAcknowledged = false;
     bool mayHaveRun = false;
+    /** Whether the time for the acknowledgement is over. */
+    bool isTimeOver = false;
     net::timer acknowledgementTimer;
 
     /** Precondition: it was sent. */
@@ -118,8 +122,10 @@
         if (next.avoidedUntil > now || !next.pool.hasCapacity())
             continue;
         const duration timeout = acknowledgementTime(part.request.latencyObjective);
-        part.request.times.start = now + timeout;
+        part.request.times.start = now + timeout / 2;
+        part.request.times.hedges = now + timeout + hedgeMargin;
         part.isAcknowledged = false;
+        part.isTimeOver = false;
         const std::string body = encodePartRequest(part.request, now);
         http::exchange_request request;
         request.bytes = fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n"
@@ -129,7 +135,8 @@
         request.bytes.append(body);
         const part_number number = part.number;
         request.matchesRequest = [number](const http::response &response) {
-            return hasNumber(response, number);
+            // A host of another release rejects a part without its number.
+            return response.status != okStatus || hasNumber(response, number);
         };
         request.onInterim = [this, number](const http::response &response) {
             if (response.status == partAcceptedStatus && hasNumber(response, number))
@@ -166,6 +173,10 @@
     if (found == m_parts.end())
         return;
     running_part &part = *found->second;
+    // The acknowledgement may have arrived while this host was busy, and is read before the timer
+    // expires again.
+    if (!std::exchange(part.isTimeOver, true))
+        return part.acknowledgementTimer.start(duration::zero());
     peerOf(part.currentHost()).pool.cancel(part.exchange);
     avoid(part.currentHost(), silentHostAvoidance);
     logFailure(part, "not-acknowledged");
@@ -210,7 +221,6 @@
 
 void part_dispatcher::onResponse(running_part &part, const http::response &response)
 {
-    // A host of another release may not know parts.
     if (response.status != okStatus) {
         avoid(part.currentHost(), silentHostAvoidance);
         logFailure(part, "rejected");
--- a/modules/serving/part_messages.capnp
+++ b/modules/serving/part_messages.capnp
@@ -32,6 +32,7 @@
   untilCutoff @19 :Int64;
   untilEnd @20 :Int64;
   untilDeadline @21 :Int64;
+  untilHedges @22 :Int64;
 }
 
 struct PartAnswer {
--- a/modules/serving/part_messages.cpp
+++ b/modules/serving/part_messages.cpp
@@ -117,10 +117,12 @@
         std::chrono::floor<std::chrono::milliseconds>(readTime(message.getLatencyObjective()));
     request.isLateRetry = message.getIsLateRetry();
     request.isRepeated = message.getIsRepeated();
-    request.times = {
-        arrival + readTime(message.getUntilStart()), arrival + readTime(message.getUntilRefusal()),
-        arrival + readTime(message.getUntilCutoff()), arrival + readTime(message.getUntilEnd()),
-        arrival + readTime(message.getUntilDeadline())};
+    request.times = {arrival + readTime(message.getUntilStart()),
+                     arrival + readTime(message.getUntilHedges()),
+                     arrival + readTime(message.getUntilRefusal()),
+                     arrival + readTime(message.getUntilCutoff()),
+                     arrival + readTime(message.getUntilEnd()),
+                     arrival + readTime(message.getUntilDeadline())};
     return request;
 }
 
@@ -222,6 +224,7 @@
     root.setIsRepeated(request.isRepeated);
     root.setLatencyObjective(microsecondsOf(request.latencyObjective));
     root.setUntilStart(microsecondsOf(request.times.start - now));
+    root.setUntilHedges(microsecondsOf(request.times.hedges - now));
     root.setUntilRefusal(microsecondsOf(request.times.refusal - now));
     root.setUntilCutoff(microsecondsOf(request.times.cutoff - now));
     root.setUntilEnd(microsecondsOf(request.times.end - now));
--- a/modules/serving/scatter.cpp
+++ b/modules/serving/scatter.cpp
@@ -87,6 +87,12 @@
     });
 }
 
+bool scatter::mayEndedAttemptHaveRun() const
+{
+    return std::any_of(m_shards.begin(), m_shards.end(),
+                       [](const shard_state &state) { return state.mayHaveRun; });
+}
+
 std::size_t scatter::pendingShardCount() const
 {
     std::size_t pendingCount = 0;
--- a/tests/blocking_connection.h
+++ b/tests/blocking_connection.h
@@ -58,4 +58,26 @@
     int m_descriptor;
 };
 
+/** Accepts connections and requests in the kernel, and never reads them. */
+class silent_listener
+{
+public:
+    explicit silent_listener(std::uint16_t port)
+        : m_descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int on = 1;
+        ::setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        const sockaddr_in address = loopbackAddress(port);
+        const auto *genericAddress = reinterpret_cast<const sockaddr *>(&address);
+        REQUIRE(::bind(m_descriptor, genericAddress, sizeof(address)) == 0);
+        REQUIRE(::listen(m_descriptor, 64) == 0);
+    }
+    ~silent_listener() { ::close(m_descriptor); }
+    silent_listener(const silent_listener &) = delete;
+    silent_listener &operator=(const silent_listener &) = delete;
+
+private:
+    int m_descriptor;
+};
+
 } // namespace mustardcourse::tests
