Soak: hosts that gather for each other, parts counted twice, lookups on too many targets

The soak's hosts take a share of a core (--cores) and any number of shards (--shards), so that several of them gather a lookup while they are killed, stopped, frozen and started again.

--- a/scripts/platform-fleet.sh
+++ b/scripts/platform-fleet.sh
@@ -3,6 +3,8 @@
 
 # FLEET_LINK_MBIT: data rate of each host's network link in Mbit/s (1000)
 FLEET_LINK_MBIT=${FLEET_LINK_MBIT:-1000}
+# FLEET_CORES: share of a processor core that each host takes itself to have (1)
+FLEET_CORES=${FLEET_CORES:-1}
 # FLEET_MOST_HOSTS: highest number of a host (20). Ports are, from FLEET_PORT + 400: those for
 # callers, readiness, metrics and relays, so many of each, and the targets.
 FLEET_MOST_HOSTS=${FLEET_MOST_HOSTS:-20}
@@ -17,6 +19,7 @@
 [host]
 id = host-$number
 data_centre = $data_centre
+cores = $FLEET_CORES
 
 [listen]
 caller = 127.0.0.1:$(caller_port "$number")
--- a/scripts/soak-checks.sh
+++ b/scripts/soak-checks.sh
@@ -3,6 +3,7 @@
 #   requests   BEGIN END HOST-ADDRESS ID STATUS PARTS MISSING, from the callers, times in milliseconds
 #   faults     TIME EVENT HOST-ADDRESS, what was done to a host; "-" for the store and targets
 #   bookings   ID RUNS, from the targets
+#   excess     ID RUNS, lookups that more targets of one shard have run than their route allows
 #   configurations  TIME HOST-ADDRESS LIFE VERSION, from the hosts' logs
 
 # Time after a disturbance from which promises hold again.
@@ -15,6 +16,7 @@
     awk -v shards="$2" '
         $4 ~ /^lookup/ && $5 == 200 {
             if ($6 == "foreign") print "foreign part: " $0
+            else if ($6 == "twice") print "part twice: " $0
             else if ($6 + $7 != shards) print "wrong coverage: " $0
             else if ($6 * 2 < shards) print "too few parts: " $0
         }' "$1/requests"
@@ -24,6 +26,13 @@
     awk '$2 > 1 { print "ran more than once: " $0 }' "$1/bookings"
 }
 
+# At most three lookups of a run go to more targets of a shard than their route allows.
+check_attempts() {
+    awk '
+        !($1 in seen) { seen[$1]; ++lookups }
+        END { if (lookups > 3) print lookups " lookups ran on too many targets, this one " $0 }' "$1/excess"
+}
+
 # A booking that was refused has not run, and one that was answered has.
 check_refusals() {
     awk '
@@ -78,6 +87,7 @@
 check_all() {
     check_coverage "$1" "$2"
     check_once "$1"
+    check_attempts "$1"
     check_refusals "$1"
     check_cuts "$1"
     check_configurations "$1"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,6 +2,8 @@
 # Runs real hosts, callers and the platform stand-in as separate processes, injects faults in a
 # sequence that the seed determines, and checks what callers and targets saw.
 # Usage: scripts/soak.sh [--seed N] [--seeds FIRST-LAST] [--hosts N] [--length SECONDS]
+#                        [--shards N] [--cores SHARE]
+# On hosts with a small share of a core, several hosts gather the shards of a lookup.
 # Logs and traces of a run with violations are kept in soak-SEED.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -15,7 +17,6 @@
 # Faults are injected for so long.
 length_s=30
 shards=4
-target_count=12
 stop_grace_ms=6000
 
 while [ $# -gt 0 ]; do
@@ -24,6 +25,8 @@
     --seeds) first_seed=${2%-*} last_seed=${2#*-} ;;
     --hosts) host_count=$2 ;;
     --length) length_s=$2 ;;
+    --shards) shards=$2 ;;
+    --cores) FLEET_CORES=$2 ;;
     *) echo "soak.sh: unknown option $1" >&2; exit 2 ;;
     esac
     shift 2
@@ -32,6 +35,8 @@
     FLEET_MOST_HOSTS=$host_count
 fi
 
+target_count=$((3 * shards))
+
 # plan_faults SEED: prints lines "MILLISECONDS EVENT ARGUMENT" in the order of time. Faults overlap.
 plan_faults() {
     RANDOM=$1
@@ -150,6 +155,7 @@
     wait "${fleet_processes[callers]}" || echo "the callers failed" >> "$trace/violations"
     mv "$fleet_work/callers.log" "$trace/requests"
     send_request $((FLEET_PORT + 398)) POST /booking-runs control | grep '^booking-' > "$trace/bookings"
+    send_request $((FLEET_PORT + 398)) POST /lookups-run-too-often control | grep '^lookup-' > "$trace/excess" || true
     for host in $(seq 1 "$host_count"); do
         is_running "$host" || echo "host $host ended by itself" >> "$trace/violations"
         stop "platform-host-$host" KILL || true
@@ -165,7 +171,8 @@
     [ -s "$trace/violations" ] || return 0
     head -n 10 "$trace/violations"
     cp -r "$trace" "soak-$seed"
-    echo "again: scripts/soak.sh --seed $seed --hosts $host_count --length $length_s"
+    echo "again: scripts/soak.sh --seed $seed --hosts $host_count --length $length_s" \
+        "--shards $shards --cores $FLEET_CORES"
     return 1
 }
 
--- a/standins/standin_caller.cpp
+++ b/standins/standin_caller.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <cstdio>
+#include <set>
 
 ABSL_FLAG(std::vector<std::string>, hosts, {"127.0.0.1:8101"}, "hosts to send requests to");
 ABSL_FLAG(std::uint32_t, callers, 2, "number of callers of each host");
@@ -90,8 +91,8 @@
                    missing.value_or("-"));
     }
 
-    /** Returns the number of parts of an answer that belong to the request; "-" if it has none, and
-        "foreign" if there is a part of another request. */
+    /** Returns the number of parts of an answer that belong to the request; "-" if it has none,
+        "foreign" if there is a part of another request, and "twice" if a part appears twice. */
     static std::string countOwnParts(const std::string &id, const http::response &answer)
     {
         const auto stamps = http::findHeader(answer.headers, "X-Part-Stamps");
@@ -102,7 +103,8 @@
             if (!part.ends_with("." + id))
                 return "foreign";
         }
-        return std::to_string(parts.size());
+        const std::set<std::string> distinctParts(parts.begin(), parts.end());
+        return distinctParts.size() < parts.size() ? "twice" : std::to_string(parts.size());
     }
 
     const mustardcourse::clock &m_time;
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <charconv>
 #include <csignal>
+#include <map>
 #include <optional>
 
 ABSL_FLAG(std::string, store, "127.0.0.1:8001", "address of the store");
@@ -30,11 +31,19 @@
 
 constexpr std::array<const char *, 3> dataCentres{"riga-1", "riga-2", "jelgava"};
 
+/** Maximum number of targets of a shard that may run one request. */
+constexpr std::size_t maximumAttempts = 2;
+
 json makeRoute(const std::string &name, const std::string &routeType)
 {
-    return {{"Name", name},           {"Host", "search.example"}, {"PathPrefix", "/" + name + "/"},
-            {"RouteType", routeType}, {"TimeoutMs", 1000},        {"TargetLatencyMs", 150},
-            {"Priority", 1},          {"MaxAttempts", 2}};
+    return {{"Name", name},
+            {"Host", "search.example"},
+            {"PathPrefix", "/" + name + "/"},
+            {"RouteType", routeType},
+            {"TimeoutMs", 1000},
+            {"TargetLatencyMs", 150},
+            {"Priority", 1},
+            {"MaxAttempts", maximumAttempts}};
 }
 
 /** Returns a configuration with a route whose name contains the version, "added-5" for example, and
@@ -93,6 +102,8 @@
             return std::to_string(mostRunsOfOneBooking());
         if (command == "/booking-runs")
             return listBookingRuns();
+        if (command == "/lookups-run-too-often")
+            return listLookupsRunTooOften();
         if (command == "/crashes")
             return listCrashes();
         if (words.size() >= 3 && words[0] == "crash-on") {
@@ -147,6 +158,23 @@
     }
 
     /** Returns a line "ID RUNS" for each booking that has run. */
+    /** Returns a line "ID RUNS" for each lookup that more targets of one shard have run than its
+        route allows. */
+    [[nodiscard]] std::string listLookupsRunTooOften() const
+    {
+        std::string lines;
+        for (std::size_t first = 0; first < m_targets.size(); first += dataCentres.size()) {
+            std::map<std::string, std::size_t> runs;
+            for (std::size_t index = first; index < first + dataCentres.size(); ++index) {
+                for (const auto &[id, count] : m_targets[index]->runCountsById())
+                    runs[id] += id.starts_with("lookup") ? count : 0;
+            }
+            for (const auto &[id, count] : runs)
+                lines += count > maximumAttempts ? fmt::format("{} {}\n", id, count) : "";
+        }
+        return lines;
+    }
+
     [[nodiscard]] std::string listBookingRuns() const
     {
         std::string lines;
--- a/tests/process/soak_checks_test.sh
+++ b/tests/process/soak_checks_test.sh
@@ -13,6 +13,7 @@
     printf '%s\n' '1000 1010 h1 lookup-1 200 4 0' '1000 1010 h1 booking-5 200 - -' \
         '20000 20010 h1 lookup-9 200 4 0' > "$work/requests"
     echo 'booking-5 1' > "$work/bookings"
+    : > "$work/excess"
     echo '2000 TERM h2' > "$work/faults"
     printf '%s\n' '1 h1 1.1 1' '2 h1 1.1 2' '3 h1 1.2 1' > "$work/configurations"
 }
@@ -33,6 +34,9 @@
 expect "a part of another request" 1 requests '1500 1510 h1 lookup-2 200 foreign 0'
 expect "a part that is not counted" 1 requests '1500 1510 h1 lookup-2 200 3 0'
 expect "fewer parts than the route allows" 1 requests '1500 1510 h1 lookup-2 200 1 3'
+expect "a part that is in an answer twice" 1 requests '1500 1510 h1 lookup-2 200 twice 0'
+expect "three lookups on too many targets" 0 excess 'lookup-1 3' 'lookup-2 3' 'lookup-2 3' 'lookup-3 3'
+expect "four lookups on too many targets" 1 excess 'lookup-1 3' 'lookup-2 3' 'lookup-3 3' 'lookup-4 3'
 expect "a booking that ran twice" 1 bookings 'booking-6 2'
 expect "a refused booking" 0 requests '1500 1510 h1 booking-6 503 - -'
 expect "a refused booking that ran" 1 requests '1500 1510 h1 booking-5 503 - -'
