--- a/include/mustardcourse/serving/gathering_plan.h
+++ b/include/mustardcourse/serving/gathering_plan.h
@@ -6,6 +6,7 @@
 #include <mustardcourse/core/ids.h>
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace mustardcourse::serving {
@@ -54,7 +55,8 @@
     latency objective. A lookup over more shards than its host can call in time is therefore divided
     into parts, each of which is gathered by one of the strongest hosts of the same data centre.
     Those keep their connections to the same targets and learn how fast they are from the lookups of
-    many hosts.
+    many hosts. Hosts of a data centre that has almost no targets use gatherers of another one, so
+    that only the greatest records travel between data centres.
 
     Hosts with the same view of the members assign the parts in the same way (rendezvous hashing
    with bounded load). The class does no I/O.
@@ -68,6 +70,9 @@
     /** Sets the hosts of all data centres that accept parts. */
     void setMembers(std::vector<gatherer> members);
 
+    /** Sets the data centres that hold the targets. Without any, each one gathers for itself. */
+    void setTargetDataCentres(std::set<data_centre_id> dataCentres);
+
     /** Returns the parts of a lookup over this many shards; empty if its host gathers all of them.
         The reference is valid until setMembers() is called. */
     [[nodiscard]] const std::vector<lookup_part> &partsFor(std::size_t shardCount);
@@ -92,6 +97,8 @@
         std::size_t partsPerLookup = 0;
         /** Hosts of each part, for one set of gatherers after the other. */
         std::vector<std::vector<gatherer>> hostsOfParts;
+
+        [[nodiscard]] std::size_t setCount() const { return hostsOfParts.size() / partsPerLookup; }
     };
     struct layout
     {
@@ -102,6 +109,13 @@
 
     const layout &layoutFor(std::size_t shardCount);
     [[nodiscard]] layout makeLayout(std::size_t shardCount) const;
+    /** Returns the parts of a lookup of this host.
+        @param setsByDataCentre  only of data centres that have gatherers */
+    [[nodiscard]] std::vector<lookup_part>
+    makeParts(const std::map<data_centre_id, gatherer_sets> &setsByDataCentre,
+              std::size_t shardCount) const;
+    /** Returns the data centres whose hosts gather for this one, the preferred first. */
+    [[nodiscard]] std::vector<data_centre_id> rankedDataCentres() const;
     /** Returns how many shards a host can call within the time of a part. */
     [[nodiscard]] std::size_t shardsPerPart(core_share cores) const;
     /** Returns the hosts of a data centre that are strong enough, the strongest first. */
@@ -114,6 +128,7 @@
     gatherer m_ownHost;
     gathering_parameters m_parameters;
     std::map<data_centre_id, std::vector<gatherer>> m_membersByDataCentre;
+    std::set<data_centre_id> m_targetDataCentres;
     std::map<std::size_t, layout> m_layouts;
 };
 
--- a/include/mustardcourse/serving/target_directory.h
+++ b/include/mustardcourse/serving/target_directory.h
@@ -259,6 +259,9 @@
     /** Returns all targets of a service, including those that get no requests. */
     [[nodiscard]] std::vector<const target *> targetsOf(const service_id &service) const;
 
+    /** Returns the data centres that hold a good part of the targets that may get requests. */
+    [[nodiscard]] std::set<data_centre_id> mainDataCentres() const;
+
     [[nodiscard]] target *find(const instance_id &instance);
     [[nodiscard]] std::vector<const target *> all() const;
 
--- a/modules/serving/gathering_plan.cpp
+++ b/modules/serving/gathering_plan.cpp
@@ -66,6 +66,14 @@
     m_layouts.clear();
 }
 
+void gathering_plan::setTargetDataCentres(std::set<data_centre_id> dataCentres)
+{
+    if (dataCentres == m_targetDataCentres)
+        return;
+    m_targetDataCentres = std::move(dataCentres);
+    m_layouts.clear();
+}
+
 const std::vector<lookup_part> &gathering_plan::partsFor(std::size_t shardCount)
 {
     return layoutFor(shardCount).parts;
@@ -113,29 +121,67 @@
 gathering_plan::layout gathering_plan::makeLayout(std::size_t shardCount) const
 {
     layout result;
+    std::map<data_centre_id, gatherer_sets> setsByDataCentre;
     for (const auto &[dataCentre, hosts] : m_membersByDataCentre) {
-        const gatherer_sets sets = setsOf(hosts, shardCount);
+        gatherer_sets sets = setsOf(hosts, shardCount);
         if (sets.partsPerLookup == 0)
             continue;
-        const std::size_t setCount = sets.hostsOfParts.size() / sets.partsPerLookup;
-        result.gatherersPerShard += setCount;
-        if (dataCentre != m_ownHost.dataCentre)
-            continue;
+        result.gatherersPerShard += sets.setCount();
         for (const std::vector<gatherer> &partHosts : sets.hostsOfParts) {
             for (const gatherer &host : partHosts)
                 result.isGatherer = result.isGatherer || host.host == m_ownHost.host;
         }
-        if (shardCount <= shardsPerPart(m_ownHost.cores))
-            continue;
-        const std::size_t first = ownSet(setCount) * sets.partsPerLookup;
-        for (std::size_t part = 0; part < sets.partsPerLookup; ++part)
-            result.parts.push_back({{}, sets.hostsOfParts[first + part]});
-        for (std::size_t shard = 0; shard < shardCount; ++shard)
-            result.parts[shard % sets.partsPerLookup].shards.push_back(shard);
+        setsByDataCentre.emplace(dataCentre, std::move(sets));
     }
+    if (shardCount > shardsPerPart(m_ownHost.cores))
+        result.parts = makeParts(setsByDataCentre, shardCount);
     return result;
 }
 
+std::vector<lookup_part>
+gathering_plan::makeParts(const std::map<data_centre_id, gatherer_sets> &setsByDataCentre,
+                          std::size_t shardCount) const
+{
+    std::vector<const gatherer_sets *> ranked;
+    for (const data_centre_id &dataCentre : rankedDataCentres()) {
+        const auto found = setsByDataCentre.find(dataCentre);
+        if (found != setsByDataCentre.end())
+            ranked.push_back(&found->second);
+    }
+    if (ranked.empty())
+        return {};
+    const gatherer_sets &sets = *ranked.front();
+    const std::size_t first = ownSet(sets.setCount()) * sets.partsPerLookup;
+    std::vector<lookup_part> parts(sets.partsPerLookup);
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        parts[part].hosts = sets.hostsOfParts[first + part];
+        // Another data centre may be cut off as a whole, so the next host is of a third one.
+        const bool isElsewhere = parts[part].hosts.front().dataCentre != m_ownHost.dataCentre;
+        if (isElsewhere && ranked.size() > 1) {
+            const auto &otherParts = ranked[1]->hostsOfParts;
+            parts[part].hosts.resize(1);
+            parts[part].hosts.push_back(otherParts[(first + part) % otherParts.size()].front());
+        }
+    }
+    for (std::size_t shard = 0; shard < shardCount; ++shard)
+        parts[shard % parts.size()].shards.push_back(shard);
+    return parts;
+}
+
+std::vector<data_centre_id> gathering_plan::rankedDataCentres() const
+{
+    if (m_targetDataCentres.empty() || m_targetDataCentres.contains(m_ownHost.dataCentre))
+        return {m_ownHost.dataCentre};
+    std::vector<data_centre_id> ranked(m_targetDataCentres.begin(), m_targetDataCentres.end());
+    const auto rank = [this](const data_centre_id &dataCentre) {
+        return stableHash(m_ownHost.host.value(), stableHash(dataCentre.value()));
+    };
+    std::sort(ranked.begin(), ranked.end(),
+              [&](const auto &left, const auto &right) { return rank(left) > rank(right); });
+    ranked.push_back(m_ownHost.dataCentre);
+    return ranked;
+}
+
 std::size_t gathering_plan::shardsPerPart(core_share cores) const
 {
     const std::chrono::duration<double> processorTime = m_parameters.partTime * cores.value();
--- a/modules/serving/target_directory.cpp
+++ b/modules/serving/target_directory.cpp
@@ -49,6 +49,9 @@
 constexpr double failurePenalty = 10;
 /** Multiple of a target's usual latency after which its oldest request counts as stalled. */
 constexpr double stallFactor = 2.5;
+/** Number of targets of a data centre, relative to the one with the most, from which it counts as
+   one that holds targets. */
+constexpr double minimumTargetShare = 0.25;
 /** Time for which the order of a removed target's last report is kept. */
 constexpr std::chrono::minutes removedOrderLifetime{2};
 
@@ -356,6 +359,24 @@
     return targets;
 }
 
+std::set<data_centre_id> target_directory::mainDataCentres() const
+{
+    std::map<data_centre_id, std::size_t> counts;
+    std::size_t largestCount = 0;
+    for (const auto &[instance, entry] : m_byInstance) {
+        const data_centre_id &dataCentre = entry->registration().dataCentre;
+        if (!entry->isLeaving() && !m_evacuated.contains(dataCentre))
+            largestCount = std::max(largestCount, ++counts[dataCentre]);
+    }
+    const double minimumCount = minimumTargetShare * static_cast<double>(largestCount);
+    std::set<data_centre_id> dataCentres;
+    for (const auto &[dataCentre, count] : counts) {
+        if (static_cast<double>(count) >= minimumCount)
+            dataCentres.insert(dataCentre);
+    }
+    return dataCentres;
+}
+
 target *target_directory::find(const instance_id &instance)
 {
     const auto found = m_byInstance.find(instance);
--- a/tests/gathering_plan_test.cpp
+++ b/tests/gathering_plan_test.cpp
@@ -200,6 +200,52 @@
     }
 }
 
+TEST_CASE("hosts whose data centre has no targets use gatherers where the targets are")
+{
+    struct row
+    {
+        std::string name;
+        std::set<data_centre_id> targetDataCentres;
+        std::set<data_centre_id> firstHosts;
+        std::set<data_centre_id> nextHosts;
+    };
+    const data_centre_id liepaja("liepaja");
+    const std::set<data_centre_id> others{riga, jelgava};
+    const row rows[] = {
+        {"no targets are known", {}, {liepaja}, {liepaja}},
+        {"targets are here too", {riga, liepaja}, {liepaja}, {liepaja}},
+        {"targets are elsewhere", others, others, others},
+        {"targets are in one other data centre", {riga}, {riga}, {liepaja}},
+        {"targets are where no hosts are", {data_centre_id("tukums")}, {liepaja}, {liepaja}},
+    };
+    std::vector<gatherer> members = makeHosts(3, 20, liepaja);
+    for (const data_centre_id &dataCentre : others) {
+        const std::vector<gatherer> hosts = makeHosts(3, 20, dataCentre);
+        members.insert(members.end(), hosts.begin(), hosts.end());
+    }
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        std::set<data_centre_id> firstHosts;
+        std::set<data_centre_id> nextHosts;
+        for (std::size_t receiver = 3; receiver < 23; ++receiver) {
+            gathering_plan plan = planOf(members[receiver], members);
+            plan.setTargetDataCentres(item.targetDataCentres);
+            std::vector<std::size_t> seen(90, 0);
+            for (const lookup_part &part : plan.partsFor(90)) {
+                REQUIRE(part.hosts.size() == 2);
+                CHECK(part.hosts[0].host != part.hosts[1].host);
+                firstHosts.insert(part.hosts[0].dataCentre);
+                nextHosts.insert(part.hosts[1].dataCentre);
+                for (const std::size_t shard : part.shards)
+                    ++seen[shard];
+            }
+            CHECK(std::all_of(seen.begin(), seen.end(), [](auto count) { return count == 1; }));
+        }
+        CHECK(firstHosts == item.firstHosts);
+        CHECK(nextHosts == item.nextHosts);
+    }
+}
+
 TEST_CASE("how many hosts gather a shard counts all data centres")
 {
     std::vector<gatherer> members = makeHosts(3, 58);
