Fewer calls to the store: a relay that lacks changes is asked again, a second one is prepared, longer leases

Causes: a relay that doesn't serve yet is left alone for 10 s, in which 58 hosts watch the store themselves (700 calls in the first 6 s); a relay refuses what exceeds its link's share at each configuration (165 hosts of 295), and after a failure all hosts turn to the store. Change: status 410 is no failure of the relay; the two best-ranked hosts are prepared as relays; leases last 12 s instead of 5 s, the count of hosts keeps its maximum for 16 s instead of 7 s (a dead host counts longer, which only makes shares smaller).

--- a/include/mustardcourse/membership/member_estimate.h
+++ b/include/mustardcourse/membership/member_estimate.h
@@ -15,7 +15,7 @@
     std::size_t minimumCount = 8;
     /** Time within which every live host appears in the list: the lifetime of a lease and the time
         of a renewal. */
-    duration window = std::chrono::seconds(7);
+    duration window = std::chrono::seconds(16);
     /** Time after the start of this host within which hosts that start at the same time, or whose
         keys a restored store has lost, write their keys. */
     duration joinTime = std::chrono::milliseconds(2500);
--- a/include/mustardcourse/store/lease_membership.h
+++ b/include/mustardcourse/store/lease_membership.h
@@ -28,13 +28,16 @@
 {
     std::string key;
     std::string value;
-    /** Time after the last renewal at which the lease expires and the key is removed. */
-    duration leaseLifetime = std::chrono::seconds(5);
+    /** Time after the last renewal at which the lease expires and the key is removed. Until then a
+        host that has ended counts among those that share limits, which only makes shares smaller.
+     */
+    duration leaseLifetime = std::chrono::seconds(12);
     /** Two consecutive renewals may fail before the lease expires. */
-    duration renewalInterval = std::chrono::milliseconds(1600);
-    /** Delay after the first failed call; doubles with each further failure, up to the renewal
-        interval, as the store meters every call and nothing waits for this one. */
+    duration renewalInterval = std::chrono::seconds(4);
+    /** Delay after the first failed call; doubles with each further failure, up to a maximum, as
+       the store meters every call and nothing waits for this one. */
     duration initialRetryDelay = std::chrono::milliseconds(400);
+    duration maximumRetryDelay = std::chrono::milliseconds(1600);
 };
 
 /**
@@ -149,7 +152,7 @@
         m_log.writeRateLimited("membership-failed", {{"failure", nameOf(failure)}});
         m_onFailure();
         schedule(m_nextRetryDelay);
-        m_nextRetryDelay = std::min(2 * m_nextRetryDelay, m_settings.renewalInterval);
+        m_nextRetryDelay = std::min(2 * m_nextRetryDelay, m_settings.maximumRetryDelay);
     }
 
     void schedule(duration delay)
--- a/include/mustardcourse/store/relay_choice.h
+++ b/include/mustardcourse/store/relay_choice.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mustardcourse::store {
 
@@ -33,16 +34,22 @@
 /** Members by host name. */
 using member_entries = std::map<std::string, member_entry>;
 
+/** Number of hosts that are prepared to be the relay of their data centre. */
+constexpr std::size_t preparedRelays = 2;
+
 /**
-    Returns the host that relays changes of the store to the others of a data centre.
+    Returns the hosts of a data centre that can relay changes of the store to the others, the
+    preferred one first.
 
-    Uses rendezvous hashing: all hosts that see the same members choose the same relay, and a host
-    that joins or leaves changes the choice only if it becomes or was the relay.
+    Only hosts with a good part of the greatest number of cores are chosen, as a relay sends to all
+    others at once. Among them, rendezvous hashing makes all hosts that see the same members choose
+    the same relay, and a host that joins or leaves changes the choice only if it becomes or was the
+    relay.
 
-    @returns nothing if the data centre has too few members with a relay address for a relay to save
+    @returns none if the data centre has too few members with a relay address for a relay to save
              calls to the store
 */
-std::optional<std::string> chooseRelay(const member_entries &members,
-                                       const data_centre_id &dataCentre);
+std::vector<std::string> rankRelays(const member_entries &members,
+                                    const data_centre_id &dataCentre);
 
 } // namespace mustardcourse::store
--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -5,6 +5,10 @@
 #include <mustardcourse/store/change_relay.h>
 #include <mustardcourse/store/store_mirror.h>
 
+#include <algorithm>
+#include <map>
+#include <vector>
+
 namespace mustardcourse::store {
 
 /** Times of a host that receives changes of the store through a relay. */
@@ -38,11 +42,11 @@
         , m_direct(direct)
         , m_ownRelay(ownRelay)
         , m_onStoreUnreachable(std::move(onStoreUnreachable))
-        , m_relayAvoidedUntil(clock.now())
     { }
 
-    /** Sets the relay to receive changes through; without one, watches go to the store itself. */
-    void setRelay(std::optional<endpoint> relay);
+    /** Sets the relays to receive changes through, the preferred one first; while none can be used,
+        watches go to the store itself. */
+    void setRelays(const std::vector<endpoint> &relays);
 
     /** @see watchable_store */
     void list(std::string_view prefix, std::string_view after, batch_handler handler)
@@ -57,8 +61,11 @@
 private:
     void watchDirectly(const std::string &prefix, const store_position &since, duration wait,
                        batch_handler handler);
-    void onRelayResult(const http::exchange_result &result, const std::string &prefix,
-                       const store_position &since, duration wait, batch_handler handler);
+    void onRelayResult(const endpoint &relay, const http::exchange_result &result,
+                       const std::string &prefix, const store_position &since, duration wait,
+                       batch_handler handler);
+    /** Returns the relay to use now, or null. */
+    [[nodiscard]] const endpoint *usableRelay() const;
 
     net::loop &m_loop;
     const clock &m_clock;
@@ -67,49 +74,66 @@
     change_relay &m_ownRelay;
     std::function<void()> m_onStoreUnreachable;
     relayed_store_settings m_settings;
-    std::optional<endpoint> m_relay;
+    std::vector<endpoint> m_relays;
+    /** Until when relays that have failed are not used. */
+    std::map<endpoint, time_point> m_avoidedUntil;
     std::unique_ptr<http::client_pool> m_pool;
-    time_point m_relayAvoidedUntil;
     /** Whether the relay has failed since the last changes arrived, or the last watch failed. */
     bool m_areChangesOverdue = false;
 };
 
 template <watchable_store Store>
-void relayed_store<Store>::setRelay(std::optional<endpoint> relay)
+void relayed_store<Store>::setRelays(const std::vector<endpoint> &relays)
 {
-    if (relay == m_relay)
+    if (relays == m_relays)
         return;
-    m_log.info("relay-chosen", {{"relay", relay ? relay->toString() : std::string("none")}});
-    m_relay = std::move(relay);
-    m_relayAvoidedUntil = m_clock.now();
+    m_log.info("relay-chosen",
+               {{"relay", relays.empty() ? std::string("none") : relays.front().toString()},
+                {"prepared", relays.size()}});
+    m_relays = relays;
+    std::erase_if(m_avoidedUntil, [this](const auto &entry) {
+        return std::find(m_relays.begin(), m_relays.end(), entry.first) == m_relays.end();
+    });
+}
+
+template <watchable_store Store>
+const endpoint *relayed_store<Store>::usableRelay() const
+{
+    const auto found =
+        std::find_if(m_relays.begin(), m_relays.end(), [this](const endpoint &relay) {
+            const auto avoided = m_avoidedUntil.find(relay);
+            return avoided == m_avoidedUntil.end() || m_clock.now() >= avoided->second;
+        });
+    return found == m_relays.end() ? nullptr : &*found;
 }
 
 template <watchable_store Store>
 void relayed_store<Store>::watch(std::string_view prefix, const store_position &since,
                                  duration wait, batch_handler handler)
 {
-    if (!m_relay || m_clock.now() < m_relayAvoidedUntil)
+    const endpoint *relay = usableRelay();
+    if (relay == nullptr)
         return watchDirectly(std::string(prefix), since, wait, std::move(handler));
-    const bool isPoolForRelay = m_pool && m_pool->peer() == *m_relay;
+    const bool isPoolForRelay = m_pool && m_pool->peer() == *relay;
     if (!isPoolForRelay) {
         m_pool = std::make_unique<http::client_pool>(
-            m_loop, m_clock, *m_relay,
+            m_loop, m_clock, *relay,
             http::client_pool_settings{
                 .maximumConnections = 1,
                 .responseLimits = {std::size_t{16} * 1024, std::size_t{8} * 1024 * 1024}});
     }
     http::exchange_request request;
     request.bytes =
-        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", relayTarget(since), m_relay->toString());
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", relayTarget(since), relay->toString());
     http::sendWithTimeout(m_loop, *m_pool, std::move(request), m_settings.relayTimeout,
-                          [this, prefix = std::string(prefix), since, wait,
+                          [this, usedRelay = *relay, prefix = std::string(prefix), since, wait,
                            handler = std::move(handler)](http::exchange_result &&result) {
-                              onRelayResult(result, prefix, since, wait, handler);
+                              onRelayResult(usedRelay, result, prefix, since, wait, handler);
                           });
 }
 
 template <watchable_store Store>
-void relayed_store<Store>::onRelayResult(const http::exchange_result &result,
+void relayed_store<Store>::onRelayResult(const endpoint &relay, const http::exchange_result &result,
                                          const std::string &prefix, const store_position &since,
                                          duration wait, batch_handler handler)
 {
@@ -119,12 +143,18 @@
     if (status == relay_status::changes)
         batch = decodeBatch(result.answer.body);
     const bool isUsable = batch.failure == store_failure::None && batch.current.isSameEra(since);
-    if (isUsable)
+    if (isUsable) {
+        // A host that is prepared to be the relay needs the changes for the others.
+        if (m_ownRelay.isServing())
+            m_ownRelay.onWatchResult(since, batch);
         return handler(std::move(batch));
-    // A relay that has too much to send at once is usable for the next changes.
-    const bool isOverLimit = status == relay_status::overLimit;
-    if (!isOverLimit)
-        m_relayAvoidedUntil = m_clock.now() + m_settings.relayAvoidanceTime;
+    }
+    // A relay that has too much to send at once, or not the changes of this host, is usable for the
+    // next changes.
+    const bool canSendNext =
+        status == relay_status::overLimit || status == relay_status::changesUnavailable;
+    if (!canSendNext)
+        m_avoidedUntil[relay] = m_clock.now() + m_settings.relayAvoidanceTime;
     m_areChangesOverdue = true;
     m_log.info("relay-failed", {{"status", status}, {"since", since.number().value()}});
     if (status == relay_status::storeUnreachable)
--- a/modules/store/relay_choice.cpp
+++ b/modules/store/relay_choice.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <functional>
 
 namespace mustardcourse::store {
 
@@ -17,6 +18,9 @@
     queries the store about four times as often as a host that watches it only for itself. */
 constexpr std::size_t minimumCandidates = 6;
 
+/** Minimum number of cores of a relay, relative to the strongest host of its data centre. */
+constexpr double minimumRelativeCores = 0.5;
+
 /** Removes the text up to a space, and the space. */
 std::string_view takeWord(std::string_view &text)
 {
@@ -64,23 +68,29 @@
     return entry;
 }
 
-std::optional<std::string> chooseRelay(const member_entries &members,
-                                       const data_centre_id &dataCentre)
+std::vector<std::string> rankRelays(const member_entries &members, const data_centre_id &dataCentre)
 {
     std::size_t candidateCount = 0;
-    std::optional<std::string> best;
-    std::uint64_t bestRank = 0;
+    core_share greatestCores{0};
     for (const auto &[host, entry] : members) {
         if (entry.dataCentre != dataCentre || !entry.relay)
             continue;
         ++candidateCount;
-        const std::uint64_t rank = stableHash(host);
-        if (best && rank < bestRank)
-            continue;
-        best = host;
-        bestRank = rank;
+        greatestCores = std::max(greatestCores, entry.cores);
+    }
+    if (candidateCount < minimumCandidates)
+        return {};
+    std::vector<std::pair<std::uint64_t, std::string>> ranks;
+    for (const auto &[host, entry] : members) {
+        const bool isStrong = entry.cores.value() >= minimumRelativeCores * greatestCores.value();
+        if (entry.dataCentre == dataCentre && entry.relay && isStrong)
+            ranks.emplace_back(stableHash(host), host);
     }
-    return candidateCount < minimumCandidates ? std::nullopt : best;
+    std::sort(ranks.begin(), ranks.end(), std::greater<>());
+    std::vector<std::string> hosts;
+    for (auto &[rank, host] : ranks)
+        hosts.push_back(std::move(host));
+    return hosts;
 }
 
 } // namespace mustardcourse::store
