Gatherers relay no changes of the store where there are other hosts; later second attempts

The relay was a gatherer, and what it sends at once fills its link for up to 100 ms, so that acknowledgements waited behind it; its second attempts began 12 ms after the part arrived, the cancellation came after 10 ms and more. Ruled out: a sender too busy to read (it reads before its timer expires again), a gatherer too busy to start (it declines: 7 cases). Change: relays are chosen among hosts that don't gather, if there are enough; a gatherer sends second attempts after two and a half times the acknowledgement time.

--- a/include/mustardcourse/store/relay_choice.h
+++ b/include/mustardcourse/store/relay_choice.h
@@ -41,8 +41,8 @@
     Returns the hosts of a data centre that can relay changes of the store to the others, the
     preferred one first.
 
-    Only hosts with a good part of the greatest number of cores are chosen, as a relay sends to all
-    others at once. Among them, rendezvous hashing makes all hosts that see the same members choose
+    The strongest hosts gather lookups for others, and what a relay sends at once delays all else on
+    its link, so they are chosen only if there are too few others. Rendezvous hashing makes all hosts that see the same members choose
     the same relay, and a host that joins or leaves changes the choice only if it becomes or was the
     relay.
 
--- a/modules/serving/part_dispatcher.cpp
+++ b/modules/serving/part_dispatcher.cpp
@@ -20,8 +20,9 @@
 constexpr double acknowledgementFraction = 0.25;
 constexpr milliseconds minimumAcknowledgementTime{10};
 constexpr milliseconds maximumAcknowledgementTime{50};
-/** Time from the end of the wait for an acknowledgement until the gatherer knows of it. */
-constexpr milliseconds hedgeMargin{2};
+/** Time from which a gatherer may send a shard to a second target, as a multiple of the time for
+   its acknowledgement: until then it learns whether this host has given the part to another one. */
+constexpr double hedgeDelayFactor = 2.5;
 /** Time for which a host that is silent, or was lost while it gathered, gets no part. Each host has
     to find out for itself and loses time with every trial. */
 constexpr std::chrono::seconds silentHostAvoidance{5};
@@ -123,7 +124,7 @@
             continue;
         const duration timeout = acknowledgementTime(part.request.latencyObjective);
         part.request.times.start = now + timeout / 2;
-        part.request.times.hedges = now + timeout + hedgeMargin;
+        part.request.times.hedges = now + scaled(timeout, hedgeDelayFactor);
         part.isAcknowledged = false;
         part.isTimeOver = false;
         const std::string body = encodePartRequest(part.request, now);
--- a/modules/store/relay_choice.cpp
+++ b/modules/store/relay_choice.cpp
@@ -18,8 +18,9 @@
     queries the store about four times as often as a host that watches it only for itself. */
 constexpr std::size_t minimumCandidates = 6;
 
-/** Minimum number of cores of a relay, relative to the strongest host of its data centre. */
-constexpr double minimumRelativeCores = 0.5;
+/** Number of cores, relative to the strongest host of the data centre, from which hosts are left to
+    gather lookups: what a relay sends at once delays all else on its link. */
+constexpr double minimumGathererCores = 0.5;
 
 /** Removes the text up to a space, and the space. */
 std::string_view takeWord(std::string_view &text)
@@ -70,22 +71,28 @@
 
 std::vector<std::string> rankRelays(const member_entries &members, const data_centre_id &dataCentre)
 {
-    std::size_t candidateCount = 0;
+    const auto isCandidate = [&](const member_entry &entry) {
+        return entry.dataCentre == dataCentre && entry.relay.has_value();
+    };
     core_share greatestCores{0};
     for (const auto &[host, entry] : members) {
-        if (entry.dataCentre != dataCentre || !entry.relay)
-            continue;
-        ++candidateCount;
-        greatestCores = std::max(greatestCores, entry.cores);
+        if (isCandidate(entry))
+            greatestCores = std::max(greatestCores, entry.cores);
     }
-    if (candidateCount < minimumCandidates)
-        return {};
+    const double gathererCores = minimumGathererCores * greatestCores.value();
     std::vector<std::pair<std::uint64_t, std::string>> ranks;
+    std::vector<std::pair<std::uint64_t, std::string>> weakRanks;
     for (const auto &[host, entry] : members) {
-        const bool isStrong = entry.cores.value() >= minimumRelativeCores * greatestCores.value();
-        if (entry.dataCentre == dataCentre && entry.relay && isStrong)
-            ranks.emplace_back(stableHash(host), host);
+        if (!isCandidate(entry))
+            continue;
+        ranks.emplace_back(stableHash(host), host);
+        if (entry.cores.value() < gathererCores)
+            weakRanks.push_back(ranks.back());
     }
+    if (ranks.size() < minimumCandidates)
+        return {};
+    if (weakRanks.size() >= minimumCandidates)
+        ranks = std::move(weakRanks);
     std::sort(ranks.begin(), ranks.end(), std::greater<>());
     std::vector<std::string> hosts;
     for (auto &[rank, host] : ranks)
