--- a/tests/part_serving_test.cpp
+++ b/tests/part_serving_test.cpp
@@ -152,6 +152,30 @@
     CHECK(f.target.runCount() == 1);
 }
 
+TEST_CASE("a gatherer sends a shard to a second target only once its sender must know of it")
+{
+    part_fixture f;
+    standins::platform_target second{
+        f.loop, f.time, f.local(f.freePort), {.instance = "i-1", .service = "s1"}};
+    f.store.put("servers/i-1", second.registration("riga", "ready", 1));
+    f.runFor(1500ms);
+    for (standins::platform_target *target : {&f.target, &second})
+        target->setWorkTime(800ms);
+    part_request request = f.makeRequest();
+    const time_point hedges = f.time.now() + 600ms;
+    request.times.hedges = hedges;
+    f.send(encodePartRequest(request, f.time.now()));
+    const auto runs = [&] { return f.target.runCount() + second.runCount(); };
+    f.runUntil([&] { return runs() == 1; });
+    while (f.time.now() < hedges - 20ms) {
+        CHECK(runs() == 1);
+        f.runFor(10ms);
+    }
+    f.runUntil([&] { return runs() == 2; }, 500ms);
+    f.runUntil([&] { return f.result.has_value(); });
+    CHECK(decodePartAnswer(f.result->answer.body, 1).outcome == part_outcome::Answered);
+}
+
 TEST_CASE("a part whose sender has left is cancelled at the targets")
 {
     part_fixture f;
