--- a/modules/serving/gathering_plan.cpp
+++ b/modules/serving/gathering_plan.cpp
@@ -25,10 +25,12 @@
 std::vector<const gatherer *> rankedFor(std::uint64_t slot, const std::vector<gatherer> &hosts)
 {
     std::vector<std::pair<std::uint64_t, const gatherer *>> ranks;
+    ranks.reserve(hosts.size());
     for (const gatherer &host : hosts)
         ranks.emplace_back(rankOf(host.host, slot), &host);
     std::sort(ranks.begin(), ranks.end(), std::greater<>());
     std::vector<const gatherer *> ranked;
+    ranked.reserve(ranks.size());
     for (const auto &[rank, host] : ranks)
         ranked.push_back(host);
     return ranked;
--- a/modules/store/relay_choice.cpp
+++ b/modules/store/relay_choice.cpp
@@ -95,6 +95,7 @@
         ranks = std::move(weakRanks);
     std::sort(ranks.begin(), ranks.end(), std::greater<>());
     std::vector<std::string> hosts;
+    hosts.reserve(ranks.size());
     for (auto &[rank, host] : ranks)
         hosts.push_back(std::move(host));
     return hosts;
