--- a/tests/part_dispatcher_test.cpp
+++ b/tests/part_dispatcher_test.cpp
@@ -33,6 +33,8 @@
     /** Sends a second copy of the answer to the part before, then its own. */
     RepeatsAnswer,
     SendsGarbage,
+    /** Sends the head of its answer and closes the connection. */
+    BreaksOff,
     /** Rejects the request, as a host of another release does. */
     Rejects,
     NotListening,
@@ -85,6 +87,11 @@
             m_pending->sendInterim(200,
                                    {{std::string(partNumberField), "99"}, {"Content-Length", "0"}});
             return answer(*m_pending);
+        case behaviour::BreaksOff:
+            m_pending->sendInterim(
+                200, {{std::string(partNumberField), m_number}, {"Content-Length", "100"}});
+            m_pending.reset();
+            return;
         case behaviour::RepeatsAnswer:
             m_pending->sendInterim(
                 200, {{std::string(partNumberField), m_answeredNumber}, {"Content-Length", "0"}});
@@ -204,6 +211,7 @@
          0},
         {"answers late", AnswersLate, Answers, part_end::Answered, true, 2, 1},
         {"answers another part first", AnswersAnother, Answers, part_end::Answered, false, 2, 0},
+        {"breaks off its answer", BreaksOff, Answers, part_end::Lost, true, 2, 0},
         {"sends garbage", SendsGarbage, Answers, part_end::Lost, true, 2, 0},
     };
     for (const row &item : rows) {
