--- a/include/mustardcourse/store/lease_membership.h
+++ b/include/mustardcourse/store/lease_membership.h
@@ -35,7 +35,7 @@
     /** Two consecutive renewals may fail before the lease expires. */
     duration renewalInterval = std::chrono::seconds(4);
     /** Delay after the first failed call; doubles with each further failure, up to a maximum, as
-       the store meters every call and nothing waits for this one. */
+        the store meters every call and nothing waits for this one. */
     duration initialRetryDelay = std::chrono::milliseconds(400);
     duration maximumRetryDelay = std::chrono::milliseconds(1600);
 };
--- a/include/mustardcourse/store/relay_choice.h
+++ b/include/mustardcourse/store/relay_choice.h
@@ -43,8 +43,8 @@
 
     The strongest hosts gather lookups for others, and what a relay sends at once delays all else on
     its link, so they are chosen only if there are too few others. Rendezvous hashing makes all
-   hosts that see the same members choose the same relay, and a host that joins or leaves changes
-   the choice only if it becomes or was the relay.
+    hosts that see the same members choose the same relay, and a host that joins or leaves changes
+    the choice only if it becomes or was the relay.
 
     @returns none if the data centre has too few members with a relay address for a relay to save
              calls to the store
--- a/modules/serving/part_dispatcher.cpp
+++ b/modules/serving/part_dispatcher.cpp
@@ -21,7 +21,8 @@
 constexpr milliseconds minimumAcknowledgementTime{10};
 constexpr milliseconds maximumAcknowledgementTime{50};
 /** Time from which a gatherer may send a shard to a second target, as a multiple of the time for
-   its acknowledgement: until then it learns whether this host has given the part to another one. */
+    its acknowledgement: until then it learns whether this host has given the part to another
+    one. */
 constexpr double hedgeDelayFactor = 2.5;
 /** Time for which a host that is silent, or was lost while it gathered, gets no part. Each host has
     to find out for itself and loses time with every trial. */
