--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -298,19 +298,22 @@
 
 server::~server()
 {
-    m_isStopping = true;
-    ::shutdown(m_descriptor, SHUT_RDWR);
+    stop();
     m_acceptor.join();
     ::close(m_descriptor);
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const int descriptor : m_open)
-            ::shutdown(descriptor, SHUT_RDWR);
-    }
     for (std::thread &thread : m_threads)
         thread.join();
 }
 
+void server::stop()
+{
+    m_isStopping = true;
+    ::shutdown(m_descriptor, SHUT_RDWR);
+    const std::lock_guard lock(m_mutex);
+    for (const int descriptor : m_open)
+        ::shutdown(descriptor, SHUT_RDWR);
+}
+
 void server::acceptAll()
 {
     while (!m_isStopping) {
@@ -320,6 +323,10 @@
         const int on = 1;
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         const std::lock_guard lock(m_mutex);
+        if (m_isStopping) {
+            ::close(descriptor);
+            return;
+        }
         m_open.insert(descriptor);
         m_threads.emplace_back([this, descriptor] {
             connection peer(descriptor);
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -108,6 +108,8 @@
     server &operator=(const server &) = delete;
 
     [[nodiscard]] std::uint16_t port() const noexcept { return m_port; }
+    /** Closes the port and all connections, without waiting for their handlers. */
+    void stop();
 
 private:
     void acceptAll();
@@ -203,6 +205,8 @@
     void setResponder(responder onRequest);
     /** Writes its entry into the store. */
     void registerIn(store &keeper) const;
+    /** Ends it as a crash does: its port and all of its connections are closed at once. */
+    void crash() { m_server->stop(); }
     /** Returns a whole and sound answer. */
     [[nodiscard]] std::string goodAnswer(const message &request, const std::string &body) const;
     /** Records that a request runs. */
