Report the removal of a key that a call of this host has written

What was seen: a host whose own key under hosts/ was removed, written again and removed within one pause of the watch stayed away for as long as its lease lived, so the others divided the limits by too few hosts. The same gap keeps other keys that a host has written and that vanish in the pause.

Cause: the mirror knows keys from listings and watches only. The response of a watch names the newest change of a key, here the removal, and the mirror drops the removal of a key that it never had. What the host had learned from its own call stayed.

Change: the state of keys that the response to a transaction tells, those written and those found in conflict, goes through the mirror (store_mirror::observe), which then reports a removal, or a listing without the key. An item that the mirror is already past and doesn't have is reported as removed at once. A key written while a listing is under way isn't missing from it. The removal of a key that the mirror never had is logged (store-removal-unknown).

--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -109,6 +109,14 @@
         new era before the watch does, which may never be answered. */
     void onNewEra(store_era era);
 
+    /** Applies the present state of keys that a call of this host has learned. If such a key is
+        removed before the next watch, the response of that names only the removal, which then is
+        reported. */
+    void observe(std::vector<store_item> &&items);
+
+    /** Returns where the present value of a key was written; nothing if there is none. */
+    [[nodiscard]] std::optional<store_position> positionOf(const std::string &key) const;
+
     [[nodiscard]] bool isComplete() const noexcept { return m_isComplete; }
     [[nodiscard]] const mirror_progress &progress() const noexcept { return m_progress; }
 
@@ -251,7 +259,8 @@
 {
     std::vector<std::string> missing;
     for (const auto &[key, position] : m_positions) {
-        if (!m_listedKeys.contains(key))
+        const bool wasWrittenMeanwhile = m_listingPosition->isBefore(position);
+        if (!m_listedKeys.contains(key) && !wasWrittenMeanwhile)
             missing.push_back(key);
     }
     for (const std::string &key : missing)
@@ -338,6 +347,30 @@
     return !current.isSameEra(known) || current.isBefore(known);
 }
 
+template <watchable_store Store>
+void store_mirror<Store>::observe(std::vector<store_item> &&items)
+{
+    for (store_item &item : items) {
+        // Before the first listing, or in an era that the mirror has not begun, a listing follows
+        // that shows whether the key still exists.
+        const bool isReflected = item.modified.isSameEra(m_progress.position)
+            && !m_progress.position.isBefore(item.modified);
+        const bool wasRemovedSince = isReflected && !m_positions.contains(item.key);
+        if (!wasRemovedSince)
+            apply(std::move(item));
+        else if (!item.isDeleted)
+            m_listener.onKeyRemoved(item.key);
+    }
+    m_listener.onBatchApplied();
+}
+
+template <watchable_store Store>
+std::optional<store_position> store_mirror<Store>::positionOf(const std::string &key) const
+{
+    const auto found = m_positions.find(key);
+    return found == m_positions.end() ? std::nullopt : std::optional(found->second);
+}
+
 template <watchable_store Store>
 void store_mirror<Store>::beginHistory(const store_position &current)
 {
@@ -396,8 +429,10 @@
 template <watchable_store Store>
 void store_mirror<Store>::handleMissing(const std::string &key)
 {
-    if (!m_positions.contains(key))
+    if (!m_positions.contains(key)) {
+        m_log.writeRateLimited("store-removal-unknown", {{"key", key}});
         return;
+    }
     const time_point graceEnd = m_unreachableUntil + m_settings.expiryGracePeriod;
     if (!m_isStoreUnreachable && m_clock.now() >= graceEnd) {
         m_positions.erase(key);
--- a/include/mustardcourse/store/store_port.h
+++ b/include/mustardcourse/store/store_port.h
@@ -84,15 +84,25 @@
     std::optional<lease_id> lease = std::nullopt;
 };
 
+/** A key and where its present value was written. */
+struct key_version
+{
+    std::string key;
+    store_position modified;
+};
+
 /** Changes that are all made, or none of them. */
 struct store_transaction
 {
     /** Keys that must not exist; otherwise the transaction fails with store_failure::Conflict. */
     std::vector<std::string> absentKeys = {};
+    /** Keys that must not have changed since; otherwise it fails in the same way. */
+    std::vector<key_version> unchangedKeys = {};
     std::vector<store_write> writes = {};
     std::vector<std::string> removedKeys = {};
 };
 
+using items_handler = std::function<void(std::vector<store_item> &&)>;
 using batch_handler = std::function<void(store_batch &&)>;
 using lease_handler = std::function<void(lease_grant &&)>;
 using completion_handler = std::function<void(store_failure)>;
--- a/standins/lib/platform_store.cpp
+++ b/standins/lib/platform_store.cpp
@@ -156,10 +156,37 @@
 
 std::size_t platform_store::keyCount(const std::string &prefix) const
 {
-    std::size_t count = 0;
-    for (const auto &[key, value] : m_entries)
-        count += key.starts_with(prefix) ? 1 : 0;
-    return count;
+    return keys(prefix).size();
+}
+
+std::vector<std::string> platform_store::keys(const std::string &prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto &[key, entry] : m_entries) {
+        if (key.starts_with(prefix))
+            found.push_back(key);
+    }
+    return found;
+}
+
+json platform_store::describe(const std::string &key, const stored_entry &entry)
+{
+    return {{"Key", key},
+            {"Value", absl::Base64Escape(entry.value)},
+            {"Revision", entry.modifiedRevision},
+            {"CreateRev", entry.createdRevision},
+            {"Lease", entry.lease}};
+}
+
+json platform_store::describeConditions(const json &conditions) const
+{
+    json items = json::array();
+    for (const json &condition : conditions) {
+        const auto found = m_entries.find(condition.at("Key").get<std::string>());
+        if (found != m_entries.end())
+            items.push_back(describe(found->first, found->second));
+    }
+    return items;
 }
 
 void platform_store::serve(std::unique_ptr<http::caller_exchange> exchange)
@@ -205,11 +232,7 @@
             hasMore = true;
             break;
         }
-        entries.push_back({{"Key", key},
-                           {"Value", absl::Base64Escape(entry.value)},
-                           {"Revision", entry.modifiedRevision},
-                           {"CreateRev", entry.createdRevision},
-                           {"Lease", entry.lease}});
+        entries.push_back(describe(key, entry));
     }
     const json body{{"items", entries}, {"MorePages", hasMore}, {"CurrentRev", m_revision}};
     respond(exchange, 200, body.dump());
@@ -299,7 +322,8 @@
         const std::uint64_t currentRevision =
             found == m_entries.end() ? 0 : found->second.modifiedRevision;
         if (currentRevision != condition.at("Revision").get<std::uint64_t>())
-            return respond(exchange, 412);
+            return respond(exchange, 412,
+                           json{{"items", describeConditions(body.at("ExpectedRev"))}}.dump());
     }
     for (const json &write : body.at("Writes")) {
         const std::uint64_t leaseId = write.value("Lease", std::uint64_t{0});
--- a/standins/lib/platform_store.h
+++ b/standins/lib/platform_store.h
@@ -2,11 +2,14 @@
 
 #include <mustardcourse/http/caller_server.h>
 
+#include <nlohmann/json.hpp>
+
 #include <limits>
 #include <list>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace mustardcourse::standins {
 
@@ -93,6 +96,8 @@
     [[nodiscard]] std::uint64_t era() const noexcept { return m_era; }
     [[nodiscard]] std::uint64_t callCount() const noexcept { return m_callCount; }
     [[nodiscard]] std::size_t keyCount(const std::string &prefix) const;
+    /** Returns the keys that begin with a prefix, in order. */
+    [[nodiscard]] std::vector<std::string> keys(const std::string &prefix) const;
 
 private:
     struct stored_entry
@@ -126,6 +131,11 @@
     };
     struct waiting_watch;
 
+    /** Returns a key as it is written to responses. */
+    static nlohmann::json describe(const std::string &key, const stored_entry &entry);
+    /** Returns the present state of the keys of a transaction's conditions. */
+    [[nodiscard]] nlohmann::json describeConditions(const nlohmann::json &conditions) const;
+
     void serve(std::unique_ptr<http::caller_exchange> exchange);
     /** Returns whether a call is to be lost, and records when lost calls are repeated. */
     bool isToBeLost(std::string_view path);
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -99,7 +99,14 @@
         m_failuresBetweenCrashes = failuresBetween;
     }
 
-    /** Returns when the target has ended for a request. */
+    /** Makes the target end now, whatever it runs. It starts again after a time, not registered. */
+    void endFor(duration downTime)
+    {
+        m_downTime = downTime;
+        crash();
+    }
+
+    /** Returns when the target has ended. */
     [[nodiscard]] const std::vector<time_point> &crashTimes() const noexcept
     {
         return m_crashTimes;
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -251,6 +251,19 @@
         checkRepetitions(testCase);
 }
 
+TEST_CASE("a host writes its key again although it is removed as soon as it has been written")
+{
+    fleet_fixture f;
+    const std::string key = "hosts/host-1";
+    REQUIRE(f.store.keyCount(key) == 1);
+    for (int round = 0; round < 3; ++round) {
+        f.store.erase(key);
+        f.runUntil([&] { return f.store.keyCount(key) == 1; }, contactTime);
+    }
+    f.runFor(1s);
+    CHECK(f.store.keyCount(key) == 1);
+}
+
 TEST_CASE("a target that fails a request without an answer does not clear it")
 {
     checkRepetitions({"targets that fail three of four runs", "/one/x", 200ms, 50,
--- a/tests/store_model.h
+++ b/tests/store_model.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,11 +25,14 @@
         std::uint64_t lease = 0;
     };
 
-    void write(const std::string &key, const std::string &value, std::uint64_t lease = 0)
+    /** @returns the key as it was written */
+    store::store_item write(const std::string &key, const std::string &value,
+                            std::uint64_t lease = 0)
     {
         ++m_content.revision;
         m_content.items[key] = {value, m_content.revision, lease};
         m_content.changes.push_back({key, value, position(m_content.revision), false});
+        return m_content.changes.back();
     }
 
     void erase(const std::string &key)
@@ -148,6 +152,9 @@
         , m_onNewEra(std::move(onNewEra))
     { }
 
+    /** Sets the handler for keys that a call has written, called before that of the call. */
+    void onItems(store::items_handler handler) { m_onItems = std::move(handler); }
+
     void list(std::string_view, std::string_view after, store::batch_handler handler)
     {
         call<store::store_batch>([this, key = std::string(after)] { return m_store.list(key); },
@@ -193,10 +200,22 @@
                 const std::uint64_t id = std::stoull(lease.id);
                 if (!m_store.hasLease(id))
                     return outcome{store::store_failure::NotFound};
-                m_store.write(key, value, id);
-                return outcome{store::store_failure::None};
+                return outcome{store::store_failure::None, m_store.write(key, value, id)};
             },
-            [handler = std::move(handler)](outcome &&result) { handler(result.failure); });
+            [this, handler = std::move(handler)](outcome &&result) {
+                reportItem(result);
+                handler(result.failure);
+            });
+    }
+
+    /** Writes a key without a lease, with a value that is determined when it is written. */
+    void write(const std::string &key, std::function<std::string()> nextValue)
+    {
+        call<outcome>(
+            [this, key, nextValue = std::move(nextValue)] {
+                return outcome{store::store_failure::None, m_store.write(key, nextValue())};
+            },
+            [this](outcome &&result) { reportItem(result); });
     }
 
     [[nodiscard]] std::size_t pendingCount() const { return m_calls.size(); }
@@ -237,8 +256,15 @@
     struct outcome
     {
         store::store_failure failure = store::store_failure::None;
+        std::optional<store::store_item> written = std::nullopt;
     };
 
+    void reportItem(const outcome &result)
+    {
+        if (result.written && m_onItems)
+            m_onItems({*result.written});
+    }
+
     /** Delivers a result, or a failure in its place. */
     using responder = std::function<void(store::store_failure)>;
 
@@ -282,6 +308,7 @@
 
     model_store &m_store;
     std::function<void(store::store_era)> m_onNewEra;
+    store::items_handler m_onItems;
     store::era_tracker m_eras;
     std::vector<pending_call> m_calls;
 };
--- a/tests/store_restore_property_test.cpp
+++ b/tests/store_restore_property_test.cpp
@@ -86,6 +86,8 @@
             if (key == ownKey)
                 membership.onKeyRemoved();
         });
+        client.onItems(
+            [this](std::vector<store_item> &&items) { mirror.observe(std::move(items)); });
         mirror.start();
         membership.join();
     }
@@ -115,12 +117,12 @@
     /** Carries out one step of a random sequence. */
     void step(unsigned random)
     {
-        const unsigned argument = random / 16;
+        const unsigned argument = random / 18;
         const std::size_t hostNumber = argument % m_hosts.size();
         model_client &client = m_hosts[hostNumber]->client;
         const std::size_t choice = argument / m_hosts.size();
         const std::string key = "key-" + std::to_string(argument % 5);
-        switch (random % 16) {
+        switch (random % 18) {
         case 0:
         case 1:
             m_store.write(key, std::to_string(++m_lastNumber));
@@ -153,6 +155,12 @@
         case 11:
             client.execute(choice);
             break;
+        case 12:
+            m_store.erase(m_hosts[hostNumber]->ownKey);
+            break;
+        case 13:
+            client.write(key, [this] { return std::to_string(++m_lastNumber); });
+            break;
         default:
             client.deliver(choice);
         }
