Serve a harmless request again after all its targets have ended once

Cause, from log lines added for it: the host with the permission to test met closed ports, forgot the permission and asked for another one while its own entry was still in the store (requested, tested, conflict within 4 ms); it took that entry for another host's, and the removal that followed was dropped by the mirror. The other hosts had their conflict from the same entry and never saw its removal either (store-removal-unknown at all three). One host is enough. A test that was sent and not answered was ruled out (the attempt ended as not-sent).

Change: what the store tells of the entry reaches suspect_requests through the mirror only. The entry says how many tests were spent and who may test; a host changes it only as it knows it (revision). A permission that isn't needed is used again if the request comes before the call that returns it. The same cause on related paths: a host that ends, is frozen or loses the store between permission and test, or whose test has no answer, denied the request for ten minutes; now another test is permitted after 8 s, three in all, as the platform allows three retries. A frozen host used a permission that had run out; now it is checked where it is used, from the time of its request.

Why it works: there is one way in and one way out, and what nobody returns runs out.

"a host that starts knows the requests that are denied" expected ten minutes after one test without an answer, which is the fault; it now spends all three tests and expects the same of them.

--- a/include/mustardcourse/serving/suspect_requests.h
+++ b/include/mustardcourse/serving/suspect_requests.h
@@ -39,8 +39,14 @@
     std::size_t endedTargets = 3;
     /** Time for which a host remembers a suspect request after it last learned something of it. */
     duration lifetime = std::chrono::minutes(10);
-    /** Time within which a test ends. */
+    /** Time for which a permission to test may be used after it was requested. */
     duration testDuration = std::chrono::seconds(2);
+    /** Time after a test was permitted, without an answer since, from which another one is: its
+       host may have ended before it tested, and its target for another cause than the request.
+       Longer than a permission by the time in which a host that was frozen counts as disturbed. */
+    duration retestDelay = std::chrono::seconds(8);
+    /** Tests without an answer after which a request is denied for its lifetime. */
+    std::size_t maximumTests = 3;
     std::size_t maximumSuspects = 256;
 };
 
@@ -51,23 +57,37 @@
     std::string value;
 };
 
+/** What replaces the entry of a test that was permitted and not run. */
+struct returned_test
+{
+    std::string name;
+    /** The value that it had before; nothing if it has to be removed. */
+    std::optional<std::string> formerValue;
+};
+
 /**
     Requests that are suspected of ending the targets that run them.
 
     Every request that a target is running when it ends is suspect, so one ended target proves
     nothing. After several, without an answer since, a request is sent to one more target as a
-    test, by one host of all. An answer clears it; if there is none, it is denied at all hosts.
+    test, by one host of all. An answer clears it; if there is none, it is denied at all hosts, and
+    after a while another test is permitted, a few times.
 
     The hosts share what they know as entries with unique names, which suspect_sharing writes to the
-    store: one for each life of a target that has ended, and one for the test. They are only added,
-    or all removed when the request is cleared, so hosts need not coordinate but for the test, whose
-    entry only one of them can create. Bounded, and performs no I/O.
+    store: one for each life of a target that has ended, and one for the test. Those of targets are
+    only added, or all removed when the request is cleared, so hosts need not coordinate. That of
+    the test says how many tests were spent before and which host may test now; a host changes it
+    only if it is still as this host knows it. Bounded, and performs no I/O.
 */
 class suspect_requests
 {
 public:
     explicit suspect_requests(const clock &clock, const suspect_limits &limits = {});
 
+    /** Sets the prefix of the names under which this process holds permissions to test; no other
+        process has it, nor an earlier one of this host. */
+    void setHolderPrefix(std::string prefix) { m_holderPrefix = std::move(prefix); }
+
     /** Sets a handler that is called when there is something to share. */
     void onChange(std::function<void()> handler) { m_onChange = std::move(handler); }
 
@@ -92,7 +112,8 @@
     /** Records that the test may have run and was not answered, so that the request is denied. */
     void recordTestUnanswered(request_fingerprint fingerprint);
 
-    /** Returns for how long a request stays denied; zero if a test may still be running. */
+    /** Returns for how long a request stays denied, until another test is permitted or it is
+        forgotten; zero if a test may still be running. */
     [[nodiscard]] duration remainingTime(request_fingerprint fingerprint) const;
 
     [[nodiscard]] std::size_t count() const noexcept { return m_suspects.size(); }
@@ -110,13 +131,16 @@
     [[nodiscard]] std::vector<request_fingerprint> requestedTests() const;
     /** Returns the entry that stands for the test of a request. Its value identifies the host. */
     [[nodiscard]] static std::string testEntryName(request_fingerprint fingerprint);
-    /** Records that this host tries to create the entry of a requested test. If the result stays
-        unknown, the entry shows it later by its value.
-        @param value  a value that no other attempt has
-        @returns the value to use, which is that of an earlier attempt for this test if any */
-    std::string beginTestRequest(request_fingerprint fingerprint, const std::string &value);
-    /** Records the result; false means that the entry existed. */
-    void endTestRequest(request_fingerprint fingerprint, bool isGranted);
+    /** Begins to request the permission for a test. If the result stays unknown, applyEntry() tells
+        it later.
+        @returns the entry to write if the present one, or its absence, is as this host knows it */
+    suspect_entry beginTestRequest(request_fingerprint fingerprint);
+    /** Returns the requests for whose test this host has a permission that it doesn't need. */
+    [[nodiscard]] std::vector<request_fingerprint> returnedTests() const;
+    /** Begins to return a permission, which is not used from now on. */
+    returned_test beginTestReturn(request_fingerprint fingerprint);
+    /** Records that a permission was returned. */
+    void endTestReturn(request_fingerprint fingerprint);
 
     /** Returns the entries of one request that have to be written now; of those, the request that
         has ended the most targets. */
@@ -139,6 +163,8 @@
         Granted,
         /** The test of this host is running. */
         Running,
+        /** This host has the permission, and returns it unless it needs it again before. */
+        Returning,
         /** A host has tested, or is testing, and there is no answer. */
         Used,
     };
@@ -154,8 +180,12 @@
         /** By the part of the name after the fingerprint. */
         std::map<std::string, entry_state> entries;
         test_state test = test_state::None;
-        /** Value of the entry with which this host requested the permission. */
-        std::string testValue;
+        /** The name under which this host holds or requests the permission; empty if it doesn't. */
+        std::string ownHolder;
+        /** When this host began to request the permission under that name. */
+        time_point ownHolderSince;
+        /** Whether a call that returns the permission may have been executed. */
+        bool isReturnBegun = false;
         /** When this host last needed the permission to test. */
         time_point requestedAt;
         /** When this host learned that the permission to test was given. */
@@ -166,14 +196,25 @@
     suspect &suspectFor(request_fingerprint fingerprint);
     [[nodiscard]] std::size_t endedTargetsOf(const suspect &entry) const;
     [[nodiscard]] bool isTestNeeded(const suspect &entry) const;
+    [[nodiscard]] bool hasFreshPermission(const suspect &entry) const;
+    [[nodiscard]] test_state stateWithoutOwnTest(const suspect &entry) const;
+    /** Returns how many tests of a request were spent, with that of the present holder. */
+    [[nodiscard]] static std::size_t spentTestsOf(const suspect &entry);
+    /** Returns how long no other test is permitted. */
+    [[nodiscard]] duration timeUntilNextTest(const suspect &entry) const;
+    [[nodiscard]] std::vector<request_fingerprint> testsIn(test_state state) const;
+    void requestTest(suspect &entry);
+    void applyTest(suspect &entry, const std::string &value);
     void evictOne();
-    void returnPermission(request_fingerprint fingerprint, suspect &entry);
+    void returnPermission(suspect &entry);
     void removeSharedEntries(request_fingerprint fingerprint, const suspect &entry);
     void notify();
 
     const clock &m_clock;
     suspect_limits m_limits;
     std::function<void()> m_onChange;
+    std::string m_holderPrefix;
+    std::uint64_t m_lastHolderNumber = 0;
     std::map<request_fingerprint, suspect> m_suspects;
     std::vector<std::vector<std::string>> m_entriesToRemove;
 };
--- a/include/mustardcourse/serving/suspect_sharing.h
+++ b/include/mustardcourse/serving/suspect_sharing.h
@@ -35,28 +35,35 @@
     duration restoreSpread = std::chrono::milliseconds(1500);
 };
 
+/** What suspect_sharing needs of its host. */
+struct suspect_sharing_host
+{
+    /** Returns where the present value of a key was written; nothing if there is none. */
+    std::function<std::optional<store::store_position>(const std::string &)> positionOf;
+    /** Called when a request that awaits permission to test may have got a result. */
+    std::function<void()> onTestDecided;
+};
+
 /** Shares the suspect requests of this host with the others through the store. */
 template <transacting_store Store>
 class suspect_sharing
 {
 public:
-    /** @param onTestDecided  called when a request that awaits permission to test has got a result
-     */
     suspect_sharing(net::loop &loop, const clock &clock, const logger &log, Store &store,
                     suspect_requests &suspects, suspect_sharing_settings settings,
-                    std::function<void()> onTestDecided)
+                    suspect_sharing_host host)
         : m_clock(clock)
         , m_log(log)
         , m_store(store)
         , m_suspects(suspects)
         , m_settings(std::move(settings))
-        , m_onTestDecided(std::move(onTestDecided))
+        , m_host(std::move(host))
         , m_nextCall(clock.now())
-        , m_nextTestRequest(clock.now())
-        , m_testValuePrefix(fmt::format("{}#{}#", m_settings.host.value(),
-                                        clock.wallNow().time_since_epoch().count()))
+        , m_nextTestCall(clock.now())
         , m_timer(loop, [this] { work(); })
     {
+        m_suspects.setHolderPrefix(fmt::format("{}#{}#", m_settings.host.value(),
+                                               clock.wallNow().time_since_epoch().count()));
         m_suspects.onChange([this] { schedule(); });
     }
 
@@ -70,14 +77,14 @@
     void onKeyUpdated(const std::string &key, const std::string &value)
     {
         m_suspects.applyEntry(key.substr(m_settings.prefix.size()), value);
-        m_onTestDecided();
+        m_host.onTestDecided();
     }
 
     /** Handles the removal of a key with the prefix. */
     void onKeyRemoved(const std::string &key)
     {
         m_suspects.removeEntry(key.substr(m_settings.prefix.size()));
-        m_onTestDecided();
+        m_host.onTestDecided();
     }
 
     /** Handles the restore of the store from an older copy, which may lack entries. */
@@ -91,9 +98,11 @@
 private:
     void work()
     {
-        if (m_clock.now() >= m_nextTestRequest) {
+        if (m_clock.now() >= m_nextTestCall) {
             for (const request_fingerprint fingerprint : m_suspects.requestedTests())
                 requestTest(fingerprint);
+            for (const request_fingerprint fingerprint : m_suspects.returnedTests())
+                returnTest(fingerprint);
         }
         if (!m_isCallRunning && m_clock.now() >= m_nextCall)
             writeOrRemove();
@@ -102,28 +111,56 @@
 
     void requestTest(request_fingerprint fingerprint)
     {
-        if (!m_runningTestRequests.insert(fingerprint).second)
+        if (!m_runningTestCalls.insert(fingerprint).second)
             return;
-        const std::string value = m_suspects.beginTestRequest(
-            fingerprint, m_testValuePrefix + std::to_string(++m_lastTestNumber));
-        const std::string key = m_settings.prefix + suspect_requests::testEntryName(fingerprint);
-        m_store.transact({.absentKeys = {key}, .writes = {{key, value}}},
-                         [this, fingerprint](store::store_failure failure) {
-                             onTestRequested(fingerprint, failure);
-                         });
+        const suspect_entry requested = m_suspects.beginTestRequest(fingerprint);
+        const std::string key = m_settings.prefix + requested.name;
+        store::store_transaction transaction{.writes = {{key, requested.value}}};
+        if (const auto position = m_host.positionOf(key))
+            transaction.unchangedKeys.push_back({key, *position});
+        else
+            transaction.absentKeys.push_back(key);
+        m_store.transact(transaction, [this, fingerprint](store::store_failure failure) {
+            onTestCallEnd("suspect-test-requested", fingerprint, failure);
+        });
     }
 
-    void onTestRequested(request_fingerprint fingerprint, store::store_failure failure)
+    void returnTest(request_fingerprint fingerprint)
     {
-        m_runningTestRequests.erase(fingerprint);
-        const bool isGranted = failure == store::store_failure::None;
-        const bool isDecided = isGranted || failure == store::store_failure::Conflict;
-        if (!isDecided) {
-            m_nextTestRequest = m_clock.now() + m_settings.retryDelay;
-            return postpone(failure);
+        if (!m_runningTestCalls.insert(fingerprint).second)
+            return;
+        const returned_test returned = m_suspects.beginTestReturn(fingerprint);
+        const std::string key = m_settings.prefix + returned.name;
+        const auto position = m_host.positionOf(key);
+        if (!position) {
+            m_runningTestCalls.erase(fingerprint);
+            m_suspects.endTestReturn(fingerprint);
+            return m_host.onTestDecided();
         }
-        m_suspects.endTestRequest(fingerprint, isGranted);
-        m_onTestDecided();
+        store::store_transaction transaction{.unchangedKeys = {{key, *position}}};
+        if (returned.formerValue)
+            transaction.writes.push_back({key, *returned.formerValue});
+        else
+            transaction.removedKeys.push_back(key);
+        m_store.transact(transaction, [this, fingerprint](store::store_failure failure) {
+            if (failure == store::store_failure::None)
+                m_suspects.endTestReturn(fingerprint);
+            onTestCallEnd("suspect-test-returned", fingerprint, failure);
+        });
+    }
+
+    /** Handles the end of a call that requests or returns the permission to test. The mirror of the
+        store has already reported the entry if the response tells it. */
+    void onTestCallEnd(std::string_view event, request_fingerprint fingerprint,
+                       store::store_failure failure)
+    {
+        m_runningTestCalls.erase(fingerprint);
+        m_log.writeRateLimited(event,
+                               {{"request", textOf(fingerprint)}, {"result", nameOf(failure)}});
+        // After a conflict the entry is known soon, if it isn't yet.
+        if (failure != store::store_failure::None)
+            m_nextTestCall = m_clock.now() + m_settings.retryDelay;
+        m_host.onTestDecided();
         schedule();
     }
 
@@ -143,14 +180,12 @@
         const auto interval = std::chrono::duration<double>(static_cast<double>(m_memberCount)
                                                             / m_settings.writesPerSecond);
         m_nextCall = m_clock.now() + std::chrono::duration_cast<duration>(interval);
-        const std::vector<store::store_write> writes = transaction.writes;
-        m_store.transact(transaction, [this, writes, removed](store::store_failure failure) {
-            onCallEnd(writes, removed, failure);
+        m_store.transact(transaction, [this, removed](store::store_failure failure) {
+            onCallEnd(removed, failure);
         });
     }
 
-    void onCallEnd(const std::vector<store::store_write> &writes,
-                   const std::vector<std::string> &removed, store::store_failure failure)
+    void onCallEnd(const std::vector<std::string> &removed, store::store_failure failure)
     {
         m_isCallRunning = false;
         if (failure != store::store_failure::None) {
@@ -158,8 +193,6 @@
                 m_suspects.returnEntriesToRemove(removed);
             return postpone(failure);
         }
-        for (const store::store_write &write : writes)
-            m_suspects.applyEntry(write.key.substr(m_settings.prefix.size()), write.value);
         schedule();
     }
 
@@ -181,10 +214,10 @@
             next = std::max(*next, m_nextCall);
         if (m_isCallRunning)
             next.reset();
-        const bool isTestRequested =
-            m_suspects.requestedTests().size() > m_runningTestRequests.size();
-        if (isTestRequested)
-            next = std::min(next.value_or(m_nextTestRequest), m_nextTestRequest);
+        const std::size_t testCalls =
+            m_suspects.requestedTests().size() + m_suspects.returnedTests().size();
+        if (testCalls > m_runningTestCalls.size())
+            next = next ? std::min(*next, m_nextTestCall) : m_nextTestCall;
         if (next)
             m_timer.start(std::max(*next - now, duration::zero()));
     }
@@ -194,17 +227,15 @@
     Store &m_store;
     suspect_requests &m_suspects;
     suspect_sharing_settings m_settings;
-    std::function<void()> m_onTestDecided;
+    suspect_sharing_host m_host;
     std::size_t m_memberCount = 1;
     bool m_isCallRunning = false;
     /** Earliest time of the next write or removal. */
     time_point m_nextCall;
-    std::set<request_fingerprint> m_runningTestRequests;
-    /** Earliest time of the next request for a permission to test. */
-    time_point m_nextTestRequest;
-    /** Part of the values of this process's test entries that no other process has. */
-    std::string m_testValuePrefix;
-    std::uint64_t m_lastTestNumber = 0;
+    /** Requests whose permission to test is being requested or returned. */
+    std::set<request_fingerprint> m_runningTestCalls;
+    /** Earliest time of the next such call. */
+    time_point m_nextTestCall;
     net::timer m_timer;
 };
 
--- a/modules/serving/suspect_requests.cpp
+++ b/modules/serving/suspect_requests.cpp
@@ -46,6 +46,32 @@
     return parsed_name{request_fingerprint(number), std::string(part)};
 }
 
+/** The value of the entry of a test. */
+struct test_entry
+{
+    /** Tests that were spent before. */
+    std::size_t spentTests = 0;
+    /** Who may test now, or has tested; empty if nobody does. */
+    std::string holder;
+};
+
+std::string formatTest(const test_entry &test)
+{
+    return fmt::format("{}:{}", test.spentTests, test.holder);
+}
+
+/** Reads the value of a test's entry; one of another format names the holder of the first test. */
+test_entry parseTest(const std::string &value)
+{
+    test_entry test;
+    const char *end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, test.spentTests);
+    if (parsed.ec != std::errc{} || parsed.ptr == end || *parsed.ptr != ':')
+        return {0, value};
+    test.holder.assign(parsed.ptr + 1, end);
+    return test;
+}
+
 } // namespace
 
 std::string textOf(request_fingerprint fingerprint)
@@ -65,7 +91,38 @@
 
 bool suspect_requests::isTestNeeded(const suspect &entry) const
 {
-    return entry.test != test_state::None || endedTargetsOf(entry) >= m_limits.endedTargets;
+    return entry.test != test_state::None || entry.entries.contains(std::string(testPart))
+        || endedTargetsOf(entry) >= m_limits.endedTargets;
+}
+
+bool suspect_requests::hasFreshPermission(const suspect &entry) const
+{
+    return m_clock.now() < entry.ownHolderSince + m_limits.testDuration;
+}
+
+suspect_requests::test_state suspect_requests::stateWithoutOwnTest(const suspect &entry) const
+{
+    const auto found = entry.entries.find(std::string(testPart));
+    const bool hasHolder =
+        found != entry.entries.end() && !parseTest(found->second.value).holder.empty();
+    return hasHolder ? test_state::Used : test_state::None;
+}
+
+std::size_t suspect_requests::spentTestsOf(const suspect &entry)
+{
+    const auto found = entry.entries.find(std::string(testPart));
+    if (found == entry.entries.end())
+        return 0;
+    const test_entry test = parseTest(found->second.value);
+    return test.spentTests + (test.holder.empty() ? 0 : 1);
+}
+
+duration suspect_requests::timeUntilNextTest(const suspect &entry) const
+{
+    const bool areAllSpent = spentTestsOf(entry) >= m_limits.maximumTests;
+    const time_point next =
+        areAllSpent ? entry.learnedAt + m_limits.lifetime : entry.testedAt + m_limits.retestDelay;
+    return std::max(next - m_clock.now(), duration::zero());
 }
 
 void suspect_requests::notify()
@@ -80,11 +137,12 @@
     if (found == m_suspects.end() || !isTestNeeded(found->second))
         return send_permission::Granted;
     suspect &entry = found->second;
+    // A process that was paused may get here before expire() does.
+    if (entry.test == test_state::Granted && !hasFreshPermission(entry))
+        returnPermission(entry);
     switch (entry.test) {
     case test_state::None:
-        entry.test = test_state::Requested;
-        entry.requestedAt = m_clock.now();
-        notify();
+        requestTest(entry);
         return send_permission::Awaited;
     case test_state::Requested:
         entry.requestedAt = m_clock.now();
@@ -93,21 +151,34 @@
         return send_permission::Granted;
     case test_state::Running:
         return send_permission::Awaited;
+    case test_state::Returning:
+        if (entry.isReturnBegun || !hasFreshPermission(entry))
+            return send_permission::Awaited;
+        entry.test = test_state::Granted;
+        return send_permission::Granted;
     case test_state::Used:
-        return send_permission::Denied;
+        if (timeUntilNextTest(entry) > duration::zero())
+            return send_permission::Denied;
+        requestTest(entry);
+        return send_permission::Awaited;
     }
     return send_permission::Denied;
 }
 
+void suspect_requests::requestTest(suspect &entry)
+{
+    entry.test = test_state::Requested;
+    entry.requestedAt = m_clock.now();
+    notify();
+}
+
 bool suspect_requests::recordSent(request_fingerprint fingerprint)
 {
     const auto found = m_suspects.find(fingerprint);
     const bool isTest = found != m_suspects.end() && found->second.test == test_state::Granted;
-    if (!isTest)
-        return false;
-    found->second.test = test_state::Running;
-    found->second.testValue.clear();
-    return true;
+    if (isTest)
+        found->second.test = test_state::Running;
+    return isTest;
 }
 
 suspect_requests::suspect &suspect_requests::suspectFor(request_fingerprint fingerprint)
@@ -149,8 +220,6 @@
 void suspect_requests::recordEndedTarget(request_fingerprint fingerprint, target_life life)
 {
     suspect &entry = suspectFor(fingerprint);
-    if (entry.test == test_state::Running)
-        entry.test = test_state::Used;
     if (endedTargetsOf(entry) >= m_limits.endedTargets)
         return;
     entry.entries.try_emplace(
@@ -172,23 +241,23 @@
 void suspect_requests::recordTestUnanswered(request_fingerprint fingerprint)
 {
     const auto found = m_suspects.find(fingerprint);
-    if (found != m_suspects.end() && found->second.test == test_state::Running)
-        found->second.test = test_state::Used;
+    if (found == m_suspects.end() || found->second.test != test_state::Running)
+        return;
+    found->second.ownHolder.clear();
+    found->second.test = stateWithoutOwnTest(found->second);
 }
 
 void suspect_requests::recordTestNotRun(request_fingerprint fingerprint)
 {
     const auto found = m_suspects.find(fingerprint);
     if (found != m_suspects.end() && found->second.test == test_state::Running)
-        returnPermission(fingerprint, found->second);
+        returnPermission(found->second);
 }
 
-void suspect_requests::returnPermission(request_fingerprint fingerprint, suspect &entry)
+void suspect_requests::returnPermission(suspect &entry)
 {
-    entry.test = test_state::None;
-    entry.testValue.clear();
-    entry.entries.erase(std::string(testPart));
-    m_entriesToRemove.push_back({testEntryName(fingerprint)});
+    entry.test = test_state::Returning;
+    entry.isReturnBegun = false;
     notify();
 }
 
@@ -197,7 +266,7 @@
     const auto found = m_suspects.find(fingerprint);
     if (found == m_suspects.end() || m_clock.now() < found->second.testedAt + m_limits.testDuration)
         return duration::zero();
-    return std::max(found->second.learnedAt + m_limits.lifetime - m_clock.now(), duration::zero());
+    return timeUntilNextTest(found->second);
 }
 
 void suspect_requests::applyEntry(const std::string &name, const std::string &value)
@@ -209,14 +278,31 @@
     entry_state &state = entry.entries[parsed->part];
     state.value = value;
     state.isShared = true;
-    if (parsed->part != testPart)
-        return;
+    if (parsed->part == testPart)
+        applyTest(entry, value);
+}
+
+void suspect_requests::applyTest(suspect &entry, const std::string &value)
+{
     entry.testedAt = m_clock.now();
-    const bool isOwnRequest = !entry.testValue.empty() && value == entry.testValue;
-    if (isOwnRequest)
+    const std::string holder = parseTest(value).holder;
+    const bool isOwn = !m_holderPrefix.empty() && holder.starts_with(m_holderPrefix);
+    const bool isPending = entry.test == test_state::None || entry.test == test_state::Requested;
+    if (entry.test == test_state::Running || (isOwn && !isPending))
+        return;
+    if (!isOwn) {
+        // The request for a permission that another host has returned is repeated.
+        const bool isRequestOpen = entry.test == test_state::Requested && holder.empty();
+        if (isRequestOpen)
+            return;
+        entry.ownHolder.clear();
+        entry.test = stateWithoutOwnTest(entry);
+        return;
+    }
+    if (holder == entry.ownHolder && hasFreshPermission(entry))
         entry.test = test_state::Granted;
-    else if (entry.test != test_state::Running)
-        entry.test = test_state::Used;
+    else
+        returnPermission(entry);
 }
 
 void suspect_requests::removeEntry(const std::string &name)
@@ -232,8 +318,12 @@
     if (state == entry.entries.end() || !state->second.isShared)
         return;
     entry.entries.erase(state);
-    if (parsed->part == testPart && entry.test == test_state::Used)
+    const bool isTestWithoutEntry = parsed->part == testPart && entry.test != test_state::Running
+        && entry.test != test_state::Requested;
+    if (isTestWithoutEntry) {
+        entry.ownHolder.clear();
         entry.test = test_state::None;
+    }
     if (entry.entries.empty())
         m_suspects.erase(found);
 }
@@ -256,10 +346,9 @@
     for (auto &[fingerprint, entry] : m_suspects) {
         const bool isRequestOld = now >= entry.requestedAt + testRequestLifetime;
         if (entry.test == test_state::Requested && isRequestOld)
-            entry.test = test_state::None;
-        const bool isPermissionOld = now >= entry.testedAt + m_limits.testDuration;
-        if (entry.test == test_state::Granted && isPermissionOld)
-            returnPermission(fingerprint, entry);
+            entry.test = stateWithoutOwnTest(entry);
+        if (entry.test == test_state::Granted && !hasFreshPermission(entry))
+            returnPermission(entry);
     }
     for (auto found = m_suspects.begin(); found != m_suspects.end();) {
         if (now < found->second.learnedAt + m_limits.lifetime) {
@@ -271,14 +360,19 @@
     }
 }
 
-std::vector<request_fingerprint> suspect_requests::requestedTests() const
+std::vector<request_fingerprint> suspect_requests::testsIn(test_state state) const
 {
-    std::vector<request_fingerprint> requested;
+    std::vector<request_fingerprint> found;
     for (const auto &[fingerprint, entry] : m_suspects) {
-        if (entry.test == test_state::Requested)
-            requested.push_back(fingerprint);
+        if (entry.test == state)
+            found.push_back(fingerprint);
     }
-    return requested;
+    return found;
+}
+
+std::vector<request_fingerprint> suspect_requests::requestedTests() const
+{
+    return testsIn(test_state::Requested);
 }
 
 std::string suspect_requests::testEntryName(request_fingerprint fingerprint)
@@ -286,26 +380,45 @@
     return entryName(fingerprint, testPart);
 }
 
-std::string suspect_requests::beginTestRequest(request_fingerprint fingerprint,
-                                               const std::string &value)
+suspect_entry suspect_requests::beginTestRequest(request_fingerprint fingerprint)
+{
+    suspect &entry = m_suspects.at(fingerprint);
+    if (entry.ownHolder.empty()) {
+        entry.ownHolder = m_holderPrefix + std::to_string(++m_lastHolderNumber);
+        entry.ownHolderSince = m_clock.now();
+    }
+    return {testEntryName(fingerprint), formatTest({spentTestsOf(entry), entry.ownHolder})};
+}
+
+std::vector<request_fingerprint> suspect_requests::returnedTests() const
+{
+    return testsIn(test_state::Returning);
+}
+
+returned_test suspect_requests::beginTestReturn(request_fingerprint fingerprint)
 {
     suspect &entry = m_suspects.at(fingerprint);
-    if (entry.testValue.empty())
-        entry.testValue = value;
-    return entry.testValue;
+    entry.isReturnBegun = true;
+    returned_test returned{testEntryName(fingerprint), std::nullopt};
+    const auto found = entry.entries.find(std::string(testPart));
+    const std::size_t spentTests =
+        found == entry.entries.end() ? 0 : parseTest(found->second.value).spentTests;
+    if (spentTests > 0)
+        returned.formerValue = formatTest({spentTests, ""});
+    return returned;
 }
 
-void suspect_requests::endTestRequest(request_fingerprint fingerprint, bool isGranted)
+void suspect_requests::endTestReturn(request_fingerprint fingerprint)
 {
     const auto found = m_suspects.find(fingerprint);
-    if (found == m_suspects.end() || found->second.test != test_state::Requested)
+    if (found == m_suspects.end() || found->second.test != test_state::Returning)
         return;
     suspect &entry = found->second;
-    entry.testedAt = m_clock.now();
-    entry.test = isGranted ? test_state::Granted : test_state::Used;
-    // Whichever host has created the entry, it is shared.
-    entry.entries[std::string(testPart)] = {
-        .value = entry.testValue, .isShared = true, .writeAt = {}};
+    entry.ownHolder.clear();
+    const auto state = entry.entries.find(std::string(testPart));
+    if (state != entry.entries.end() && parseTest(state->second.value).spentTests == 0)
+        entry.entries.erase(state);
+    entry.test = test_state::None;
 }
 
 std::optional<time_point> suspect_requests::nextWrite() const
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -5,6 +5,7 @@
 #include "platform_target.h"
 
 #include <mustardcourse/http/client_pool.h>
+#include <mustardcourse/serving/suspect_requests.h>
 
 #include <platform_host.h>
 
@@ -33,6 +34,8 @@
  */
 constexpr duration contactTime = 4s;
 constexpr std::size_t toleratedRetries = 3;
+/** Time after the end of a disruption from which requests have to be served. */
+constexpr duration recoveryTime = 12s;
 
 /** Hosts of the platform deployment, the store, and shards with several targets each. */
 class fleet_fixture : public tests::loop_fixture
@@ -83,6 +86,15 @@
             target->crashOn(path, downTime);
     }
 
+    /** Sends a request that isn't waited for. */
+    void sendWithoutWaiting(std::size_t host, const std::string &path)
+    {
+        m_pools.push_back(std::make_unique<http::client_pool>(loop, time, hostAddress(host, 0),
+                                                              http::client_pool_settings{}));
+        m_pools.back()->send(
+            {.bytes = callerRequest(path), .matchesRequest = {}, .onEnd = [](auto &&) {}});
+    }
+
     /** Registers targets that have started again. Call it periodically. */
     void registerStartedTargets()
     {
@@ -143,15 +155,20 @@
     {
         http::client_pool pool(loop, time, address, {.maximumConnections = 1});
         std::optional<http::exchange_result> result;
-        pool.send({.bytes = fmt::format("GET {} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id-{}\r\n"
-                                        "X-Time-Budget-Ms: 1000\r\n\r\n",
-                                        path, ++m_lastId),
+        pool.send({.bytes = callerRequest(path),
                    .matchesRequest = {},
                    .onEnd = [&](http::exchange_result &&ended) { result = std::move(ended); }});
         runUntil([&] { return result.has_value(); });
         return result->answer.status;
     }
 
+    std::string callerRequest(const std::string &path)
+    {
+        return fmt::format("GET {} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id-{}\r\n"
+                           "X-Time-Budget-Ms: 1000\r\n\r\n",
+                           path, ++m_lastId);
+    }
+
     void registerTarget(std::size_t index)
     {
         store.put(fmt::format("servers/i-{}", index),
@@ -193,6 +210,7 @@
     }
 
     std::uint64_t m_lastId = 0;
+    std::vector<std::unique_ptr<http::client_pool>> m_pools;
 };
 
 /** A way in which a request that ends its targets comes again. */
@@ -251,6 +269,66 @@
         checkRepetitions(testCase);
 }
 
+TEST_CASE("a request is served again after all targets of its service ended while they ran it")
+{
+    // The permission to test it is given while no target can be reached, and returned at once: the
+    // other hosts, and the one that returns it, must not take it as used.
+    struct row
+    {
+        std::string name;
+        std::size_t askedHosts;
+    };
+    for (const row &testCase : {row{"at one host", 1}, row{"at all hosts", hostCount}}) {
+        CAPTURE(testCase.name);
+        fleet_fixture f;
+        for (std::size_t index = 0; index < replicaCount; ++index)
+            f.targets[index]->setWorkTime(100ms);
+        for (std::size_t number = 0; number < 6 * replicaCount; ++number)
+            f.sendWithoutWaiting(number % testCase.askedHosts, "/one/x");
+        f.runUntil([&] {
+            return std::all_of(f.targets.begin(), f.targets.begin() + replicaCount,
+                               [](const auto &target) { return target->runCount() > 0; });
+        });
+        for (std::size_t index = 0; index < replicaCount; ++index)
+            f.targets[index]->endFor(1500ms);
+        const auto areTargetsBack = [&] { return f.targets.front()->isListening(); };
+        while (!areTargetsBack()) {
+            for (std::size_t host = 0; host < testCase.askedHosts; ++host)
+                f.send(host, "/one/x");
+            f.runFor(40ms);
+        }
+        f.registerStartedTargets();
+        std::size_t nextHost = 0;
+        f.runUntil([&] { return f.send(nextHost++ % testCase.askedHosts, "/one/x") == 200; },
+                   recoveryTime);
+        for (std::size_t host = 0; host < testCase.askedHosts; ++host)
+            f.runUntil([&] { return f.send(host, "/one/x") == 200; }, contactTime);
+    }
+}
+
+TEST_CASE("a request is tested again if the host that had the permission is gone")
+{
+    fleet_fixture f;
+    f.crashOn("/one/x", 300ms);
+    while (f.crashTimes().size() < toleratedCrashes) {
+        f.send(0, "/one/x");
+        f.runFor(400ms);
+        f.registerStartedTargets();
+    }
+    f.crashOn("", 300ms);
+    f.runFor(1s); // All hosts learn of it.
+    const std::vector<std::string> keys = f.store.keys("suspects/");
+    REQUIRE_FALSE(keys.empty());
+    const std::string entry = keys.front().substr(0, keys.front().rfind('/')) + "/test";
+    f.store.put(entry, "0:host-9#1#1");
+    const time_point givenAt = f.time.now();
+    f.runFor(1s);
+    f.runUntil([&] { return f.send(1, "/one/x") == 200; }, recoveryTime);
+    f.runUntil([&] { return f.send(2, "/one/x") == 200; }, contactTime);
+    // The host may still be testing.
+    CHECK(f.time.now() - givenAt > serving::suspect_limits().testDuration);
+}
+
 TEST_CASE("a host writes its key again although it is removed as soon as it has been written")
 {
     fleet_fixture f;
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -27,7 +27,10 @@
 public:
     explicit shared_store(std::vector<suspect_requests *> hosts)
         : m_hosts(std::move(hosts))
-    { }
+    {
+        for (std::size_t number = 0; number < m_hosts.size(); ++number)
+            m_hosts[number]->setHolderPrefix("host-" + std::to_string(number) + "#");
+    }
 
     void put(const std::string &name, const std::string &value)
     {
@@ -48,13 +51,16 @@
     void exchange(suspect_requests &host)
     {
         for (const request_fingerprint fingerprint : host.requestedTests()) {
-            const std::string name = suspect_requests::testEntryName(fingerprint);
-            const std::string value =
-                host.beginTestRequest(fingerprint, std::to_string(++m_lastTest));
-            const bool isGranted = !m_entries.contains(name);
-            if (isGranted)
-                put(name, value);
-            host.endTestRequest(fingerprint, isGranted);
+            const suspect_entry requested = host.beginTestRequest(fingerprint);
+            put(requested.name, requested.value);
+        }
+        for (const request_fingerprint fingerprint : host.returnedTests()) {
+            const returned_test returned = host.beginTestReturn(fingerprint);
+            if (returned.formerValue)
+                put(returned.name, *returned.formerValue);
+            else
+                remove(returned.name);
+            host.endTestReturn(fingerprint);
         }
         for (auto due = host.entriesToWrite(); !due.empty(); due = host.entriesToWrite()) {
             for (const suspect_entry &entry : due)
@@ -79,7 +85,6 @@
 private:
     std::vector<suspect_requests *> m_hosts;
     std::map<std::string, std::string> m_entries;
-    int m_lastTest = 0;
 };
 
 /** Two hosts and their shared entries. */
@@ -100,6 +105,23 @@
         share();
     }
 
+    /** Gives a host the permission to test, after three targets have ended. */
+    void permitTest(suspect_requests &host)
+    {
+        static_cast<void>(host.permissionFor(suspicious));
+        share();
+        REQUIRE(host.permissionFor(suspicious) == send_permission::Granted);
+    }
+
+    /** Lets a host test without an answer. */
+    void spendTest(suspect_requests &host)
+    {
+        permitTest(host);
+        REQUIRE(host.recordSent(suspicious));
+        host.recordTestUnanswered(suspicious);
+        share();
+    }
+
     manual_clock time;
     suspect_requests first{time};
     suspect_requests second{time};
@@ -235,16 +257,127 @@
 {
     fixture f;
     f.endTargets(3);
-    static_cast<void>(f.first.permissionFor(suspicious));
-    f.share();
-    f.first.recordSent(suspicious);
-    f.first.recordTestUnanswered(suspicious);
+    for (std::size_t test = 0; test < suspect_limits().maximumTests; ++test) {
+        f.time.advance(suspect_limits().retestDelay);
+        f.spendTest(test % 2 == 0 ? f.first : f.second);
+    }
     suspect_requests started(f.time);
     for (const auto &[name, value] : f.store.entries())
         started.applyEntry(name, value);
+    f.time.advance(suspect_limits().retestDelay + 1s);
     CHECK(started.permissionFor(suspicious) == send_permission::Denied);
-    f.time.advance(5s);
     CHECK(started.remainingTime(suspicious) > 5min);
+    CHECK(f.first.permissionFor(suspicious) == send_permission::Denied);
+    CHECK(f.second.permissionFor(suspicious) == send_permission::Denied);
+}
+
+TEST_CASE("a request whose permission to test is lost with its host is tested by another one")
+{
+    struct row
+    {
+        std::string name;
+        /** What becomes of the first host, which has the permission to test. */
+        std::function<void(fixture &)> happens;
+        /** How the request may be sent from the first host when the other one may test it. */
+        send_permission atFirst;
+    };
+    using enum send_permission;
+    const row rows[] = {
+        {"a host that ends", [](fixture &) {}, Denied},
+        {"a host that is frozen and does not notice before its next request",
+         [](fixture &f) {
+             f.time.advance(suspect_limits().testDuration);
+             CHECK(f.first.permissionFor(suspicious) == Awaited);
+         },
+         Denied},
+        {"a host whose test has no answer",
+         [](fixture &f) {
+             CHECK(f.first.recordSent(suspicious));
+             f.first.recordTestUnanswered(suspicious);
+         },
+         Denied},
+        {"a host that can't return the permission as it has lost the store",
+         [](fixture &f) {
+             CHECK(f.first.recordSent(suspicious));
+             f.first.recordTestNotRun(suspicious);
+             static_cast<void>(f.first.beginTestReturn(suspicious));
+         },
+         Denied},
+    };
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        fixture f;
+        f.endTargets(3);
+        f.permitTest(f.first);
+        testCase.happens(f);
+        CHECK(f.second.permissionFor(suspicious) == Denied);
+        CHECK(f.second.remainingTime(suspicious) <= suspect_limits().retestDelay);
+        f.time.advance(suspect_limits().retestDelay);
+        // Only the second host reaches the store.
+        CHECK(f.second.permissionFor(suspicious) == Awaited);
+        f.store.exchange(f.second);
+        CHECK(f.second.permissionFor(suspicious) == Granted);
+        CHECK(f.first.permissionFor(suspicious) == testCase.atFirst);
+        CHECK(f.second.recordSent(suspicious));
+        f.second.recordAnswer(suspicious);
+        f.store.exchange(f.second);
+        CHECK(f.second.permissionFor(suspicious) == Granted);
+        CHECK(f.first.permissionFor(suspicious) == Granted);
+    }
+}
+
+TEST_CASE("a permission that is needed again before it has been returned is not requested anew")
+{
+    fixture f;
+    f.endTargets(3);
+    f.permitTest(f.first);
+    CHECK(f.first.recordSent(suspicious));
+    f.first.recordTestNotRun(suspicious);
+    SUBCASE("and is still this host's")
+    {
+        CHECK(f.first.permissionFor(suspicious) == send_permission::Granted);
+        CHECK(f.first.requestedTests().empty());
+        CHECK(f.first.returnedTests().empty());
+    }
+    SUBCASE("unless a call may have returned it")
+    {
+        static_cast<void>(f.first.beginTestReturn(suspicious));
+        CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
+        f.store.remove(suspect_requests::testEntryName(suspicious));
+        CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
+        CHECK(f.first.requestedTests().size() == 1);
+    }
+    SUBCASE("unless it has run out")
+    {
+        f.time.advance(suspect_limits().testDuration);
+        CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
+        CHECK(f.first.returnedTests().size() == 1);
+    }
+}
+
+TEST_CASE("tests that were spent count also if a later one was not run")
+{
+    fixture f;
+    f.endTargets(3);
+    f.spendTest(f.first);
+    for (int round = 0; round < 5; ++round) {
+        f.time.advance(suspect_limits().retestDelay);
+        f.permitTest(f.second);
+        CHECK(f.second.recordSent(suspicious));
+        f.second.recordTestNotRun(suspicious);
+        f.share();
+        CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
+        f.share();
+        f.time.advance(suspect_limits().testDuration);
+        f.first.expire();
+        f.share();
+    }
+    f.spendTest(f.first);
+    f.time.advance(suspect_limits().retestDelay);
+    f.spendTest(f.second);
+    f.time.advance(suspect_limits().retestDelay);
+    CHECK(f.first.permissionFor(suspicious) == send_permission::Denied);
+    CHECK(f.second.permissionFor(suspicious) == send_permission::Denied);
 }
 
 TEST_CASE("a permission whose response was lost is used once its entry is seen")
@@ -252,17 +385,30 @@
     fixture f;
     f.endTargets(3);
     CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
-    const std::string value = f.first.beginTestRequest(suspicious, "own");
-    CHECK(f.first.beginTestRequest(suspicious, "again") == value);
-    f.store.put(suspect_requests::testEntryName(suspicious), value);
-    f.first.endTestRequest(suspicious, false);
+    const suspect_entry requested = f.first.beginTestRequest(suspicious);
+    CHECK(f.first.beginTestRequest(suspicious).value == requested.value);
+    f.store.put(requested.name, requested.value);
     CHECK(f.first.permissionFor(suspicious) == send_permission::Granted);
     CHECK(f.first.recordSent(suspicious));
     // The entry that is listed again is not another permission.
-    f.store.put(suspect_requests::testEntryName(suspicious), value);
+    f.store.put(requested.name, requested.value);
     CHECK(f.first.permissionFor(suspicious) != send_permission::Granted);
 }
 
+TEST_CASE("a permission whose entry is seen after it has run out is returned")
+{
+    fixture f;
+    f.endTargets(3);
+    CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
+    const suspect_entry requested = f.first.beginTestRequest(suspicious);
+    f.time.advance(suspect_limits().testDuration);
+    f.store.put(requested.name, requested.value);
+    CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
+    CHECK(f.first.returnedTests().size() == 1);
+    f.store.exchange(f.first);
+    CHECK(f.second.permissionFor(suspicious) == send_permission::Awaited);
+}
+
 TEST_CASE("many different requests take no more than the bound and leave a denied one in place")
 {
     fixture f;
