Limit the memory of all messages that are being read together

What callers could see: targets that send bytes without end fill the memory of a host, and the requests of all other callers on it end with the process (reported by operators of similar systems).

Cause: each message has a limit (1 MB for the body of an answer), but their number is set by what targets allow, up to 1,800 connections; a small host has 160 MB. The same holds for the store's responses (8 connections of 8 MB), answers of gatherers, and requests of other hosts.

Change: http::receive_memory counts what all messages take that are being read. Beyond its limit, up to twice of it, only those grow that hold no more than an even share; the others end as too large. One for answers of targets and hosts, one for the store and requests of other hosts, each an eighth of the host's memory (new setting memory_mb, filled in by the platform). A body that is encoded in more than eight times its largest size is given up.

--- a/include/mustardcourse/http/caller_server.h
+++ b/include/mustardcourse/http/caller_server.h
@@ -96,9 +96,10 @@
 public:
     using request_handler = std::function<void(std::unique_ptr<caller_exchange>)>;
 
-    /** @throws listen_error if the address cannot be listened on */
+    /** @param memory  limits the memory of the requests that are being read; null for none
+        @throws listen_error if the address cannot be listened on */
     caller_server(net::loop &loop, const clock &clock, const endpoint &address,
-                  request_handler handler);
+                  request_handler handler, receive_memory *memory = nullptr);
     ~caller_server();
     caller_server(const caller_server &) = delete;
     caller_server &operator=(const caller_server &) = delete;
@@ -133,6 +134,7 @@
     request_handler m_handler;
     std::function<void(int)> m_onRejection;
     caller_limits m_limits;
+    receive_memory *m_memory;
     bool m_isClosingAfterResponses = false;
     std::unordered_set<caller_connection *> m_connections;
     std::optional<net::listener> m_listener;
--- a/include/mustardcourse/http/client_pool.h
+++ b/include/mustardcourse/http/client_pool.h
@@ -64,6 +64,9 @@
 {
     std::size_t maximumConnections = 1;
     message_limits responseLimits{};
+    /** Limits the memory of all responses that are being read, of this and other pools; null for
+        none. It must outlive the pool. */
+    receive_memory *memory = nullptr;
     net::stream_timeouts timeouts{};
 };
 
--- a/include/mustardcourse/http/reader.h
+++ b/include/mustardcourse/http/reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mustardcourse/http/message.h>
+#include <mustardcourse/http/receive_memory.h>
 
 #include <memory>
 
@@ -40,7 +41,9 @@
 public:
     enum class direction { Requests, Responses };
 
-    message_reader(direction messages, message_limits limits);
+    /** @param memory  limits the memory of all its readers together, in addition; a message that
+                       doesn't fit counts as too large. Null for none */
+    message_reader(direction messages, message_limits limits, receive_memory *memory = nullptr);
     ~message_reader();
     message_reader(const message_reader &) = delete;
     message_reader &operator=(const message_reader &) = delete;
--- a/include/mustardcourse/serving/part_dispatcher.h
+++ b/include/mustardcourse/serving/part_dispatcher.h
@@ -45,8 +45,9 @@
 public:
     using result_handler = std::function<void(part_result &&)>;
 
+    /** @param memory  limits the memory of the answers that are being read */
     part_dispatcher(net::loop &loop, const clock &clock, const logger &log,
-                    serving_metrics &metrics, host_id ownHost);
+                    serving_metrics &metrics, http::receive_memory &memory, host_id ownHost);
     ~part_dispatcher();
 
     /**
@@ -90,6 +91,7 @@
     const clock &m_clock;
     const logger &m_log;
     serving_metrics &m_metrics;
+    http::receive_memory &m_memory;
     host_id m_ownHost;
     std::map<endpoint, std::unique_ptr<peer>> m_peers;
     std::map<part_number, std::unique_ptr<running_part>> m_parts;
--- a/include/mustardcourse/serving/query_service.h
+++ b/include/mustardcourse/serving/query_service.h
@@ -69,6 +69,8 @@
     target_directory &directory;
     suspect_requests &suspects;
     gathering_plan &gathering;
+    /** Memory of the answers of targets and other hosts that are being read. */
+    http::receive_memory &answerMemory;
 };
 
 /**
--- a/include/mustardcourse/serving/query_service_implementation.h
+++ b/include/mustardcourse/serving/query_service_implementation.h
@@ -72,9 +72,10 @@
     , m_format(std::move(format))
     , m_settings(settings)
     , m_budgets(retryLimits)
-    , m_connections(environment.loop, environment.time, environment.metrics)
+    , m_connections(environment.loop, environment.time, environment.metrics,
+                    environment.answerMemory)
     , m_dispatcher(environment.loop, environment.time, environment.log, environment.metrics,
-                   environment.gathering.ownHost().host)
+                   environment.answerMemory, environment.gathering.ownHost().host)
     , m_cancelTimer(environment.loop, [this] { cancelExpiredAttempts(); })
     , m_startupTimer(environment.loop, [this] { dispatchHeldRequests(); })
     , m_admissionTimer(environment.loop, [this] { admitPending(); })
--- a/include/mustardcourse/serving/serving_metrics.h
+++ b/include/mustardcourse/serving/serving_metrics.h
@@ -64,6 +64,8 @@
     prometheus::Gauge &requestsRunning;
     prometheus::Counter &relayBytes;
     prometheus::Counter &relayOverLimit;
+    prometheus::Gauge &receivePeak;
+    prometheus::Counter &receiveRefusals;
     prometheus::Histogram &loopTurnTime;
     prometheus::Histogram &connectionTime;
 };
--- a/include/mustardcourse/serving/target_connections.h
+++ b/include/mustardcourse/serving/target_connections.h
@@ -36,7 +36,9 @@
 class target_connections
 {
 public:
-    target_connections(net::loop &loop, const clock &clock, serving_metrics &metrics);
+    /** @param memory  limits the memory of the answers that are being read */
+    target_connections(net::loop &loop, const clock &clock, serving_metrics &metrics,
+                       http::receive_memory &memory);
 
     /** Returns whether a connection for a request to a target is available now. */
     [[nodiscard]] connection_availability availabilityOf(const target_registration &target,
@@ -64,6 +66,7 @@
     net::loop &m_loop;
     const clock &m_clock;
     serving_metrics &m_metrics;
+    http::receive_memory &m_memory;
     std::map<instance_id, target_pool> m_pools;
 };
 
--- a/include/mustardcourse/settings/serving_settings.h
+++ b/include/mustardcourse/settings/serving_settings.h
@@ -5,6 +5,7 @@
 #include <mustardcourse/core/endpoint.h>
 #include <mustardcourse/core/ids.h>
 #include <mustardcourse/core/log.h>
+#include <mustardcourse/core/memory_size.h>
 #include <mustardcourse/settings/ini_document.h>
 
 #include <chrono>
@@ -19,6 +20,8 @@
     data_centre_id dataCentre;
     /** What this host may use of a processor. */
     core_share cores{1};
+    /** Memory that this host may use. */
+    memory_size memory = megabytes(160);
     endpoint callerListen;
     endpoint readinessListen;
     endpoint metricsListen;
--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -33,14 +33,17 @@
 class relayed_store
 {
 public:
-    /** @param onStoreUnreachable  called when the relay reports that the store does not answer */
+    /** @param memory  limits the memory of the relay's responses
+        @param onStoreUnreachable  called when the relay reports that the store does not answer */
     relayed_store(net::loop &loop, const clock &clock, const logger &log, Store &direct,
-                  change_relay &ownRelay, std::function<void()> onStoreUnreachable)
+                  change_relay &ownRelay, http::receive_memory &memory,
+                  std::function<void()> onStoreUnreachable)
         : m_loop(loop)
         , m_clock(clock)
         , m_log(log)
         , m_direct(direct)
         , m_ownRelay(ownRelay)
+        , m_memory(memory)
         , m_onStoreUnreachable(std::move(onStoreUnreachable))
     { }
 
@@ -72,6 +75,7 @@
     const logger &m_log;
     Store &m_direct;
     change_relay &m_ownRelay;
+    http::receive_memory &m_memory;
     std::function<void()> m_onStoreUnreachable;
     relayed_store_settings m_settings;
     std::vector<endpoint> m_relays;
@@ -120,7 +124,8 @@
             m_loop, m_clock, *relay,
             http::client_pool_settings{
                 .maximumConnections = 1,
-                .responseLimits = {std::size_t{16} * 1024, std::size_t{8} * 1024 * 1024}});
+                .responseLimits = {std::size_t{16} * 1024, std::size_t{8} * 1024 * 1024},
+                .memory = &m_memory});
     }
     http::exchange_request request;
     request.bytes =
--- a/modules/http/caller_connection.h
+++ b/modules/http/caller_connection.h
@@ -41,6 +41,7 @@
     caller_server &m_server;
     std::unique_ptr<net::stream> m_stream;
     message_reader m_reader;
+    receive_memory::share m_unparsedMemory;
     net::timer m_timer;
     std::string m_unparsedData;
     /** Earliest times at which the latest data, the first unparsed data, and the first byte of the
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -45,7 +45,8 @@
                                      std::unique_ptr<net::stream> acceptedStream)
     : m_server(server)
     , m_stream(std::move(acceptedStream))
-    , m_reader(message_reader::direction::Requests, server.m_limits.message)
+    , m_reader(message_reader::direction::Requests, server.m_limits.message, server.m_memory)
+    , m_unparsedMemory(server.m_memory)
     , m_timer(server.m_loop, [this] { onTimeout(); })
 {
     m_server.m_connections.insert(this);
@@ -103,7 +104,9 @@
     if (m_exchange != nullptr) {
         // While a caller waits for a response, it may send at most the size of one further request.
         const message_limits &limits = m_server.m_limits.message;
-        if (m_unparsedData.size() > limits.headerBytes + limits.bodyBytes)
+        const bool isAllowed = m_unparsedData.size() <= limits.headerBytes + limits.bodyBytes
+            && m_unparsedMemory.resize(m_unparsedData.size());
+        if (!isAllowed)
             delete this;
         return;
     }
@@ -123,6 +126,7 @@
         }
         const std::size_t consumed = m_reader.feed(m_unparsedData);
         m_unparsedData.erase(0, consumed);
+        static_cast<void>(m_unparsedMemory.resize(m_unparsedData.size()));
         switch (m_reader.state()) {
         case read_state::Empty:
         case read_state::Partial:
@@ -213,6 +217,7 @@
 {
     m_isFinishing = true;
     m_unparsedData.clear();
+    m_unparsedMemory.release();
     m_stream->finish();
     m_timer.start(lingeringCloseTimeout);
 }
@@ -223,10 +228,11 @@
 }
 
 caller_server::caller_server(net::loop &loop, const clock &clock, const endpoint &address,
-                             request_handler handler)
+                             request_handler handler, receive_memory *memory)
     : m_loop(loop)
     , m_clock(clock)
     , m_handler(std::move(handler))
+    , m_memory(memory)
 {
     m_listener.emplace(loop, address, [this](std::unique_ptr<net::stream> acceptedStream) {
         // The connection deletes itself; the server's destructor deletes those that remain.
--- a/modules/http/client_pool.cpp
+++ b/modules/http/client_pool.cpp
@@ -41,7 +41,8 @@
 public:
     explicit connection(client_pool &pool)
         : m_pool(pool)
-        , m_reader(message_reader::direction::Responses, pool.m_settings.responseLimits)
+        , m_reader(message_reader::direction::Responses, pool.m_settings.responseLimits,
+                   pool.m_settings.memory)
         , m_stream(net::stream::dial(pool.m_loop, pool.m_peer, *this, pool.m_settings.timeouts))
         , m_dialedAt(pool.m_clock.now())
     { }
--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/** Bytes of a chunked body's encoding for each byte of its maximum size that are read; a chunk of
+    one byte takes five. */
+constexpr std::size_t maximumEncodingOverhead = 8;
+
 /** Returns whether a text is a token (RFC 9110, 5.6.2); http_parser accepts spaces in names. */
 bool isToken(std::string_view text)
 {
@@ -32,7 +36,7 @@
 
 struct message_reader::implementation
 {
-    implementation(direction readDirection, message_limits messageLimits);
+    implementation(direction readDirection, message_limits messageLimits, receive_memory *memory);
 
     static implementation &of(http_parser *parser)
     {
@@ -42,6 +46,10 @@
 
     void reset();
     bool addHeaderBytes(std::size_t bytes);
+    /** Records what the message takes, and returns whether it fits beside the others. */
+    bool updateMemory();
+    /** Returns whether a body is encoded in far more bytes than it has. */
+    [[nodiscard]] bool isEncodingTooLarge() const;
     int appendFieldName(std::string_view part);
     int appendFieldValue(std::string_view part);
     int onHeadersComplete();
@@ -51,8 +59,11 @@
     http_parser parser{};
     http_parser_type type;
     message_limits limits;
+    receive_memory::share memory;
     read_state state = read_state::Empty;
     std::size_t headerBytes = 0;
+    /** Bytes of the message that have been read, with what they are encoded in. */
+    std::size_t encodedBytes = 0;
     bool isNewFieldNext = true;
     bool isHeaderComplete = false;
     bool isBodyExpected = true;
@@ -64,9 +75,11 @@
 };
 
 message_reader::implementation::implementation(direction readDirection,
-                                               message_limits messageLimits)
+                                               message_limits messageLimits,
+                                               receive_memory *sharedMemory)
     : type(readDirection == direction::Requests ? HTTP_REQUEST : HTTP_RESPONSE)
     , limits(messageLimits)
+    , memory(sharedMemory)
 {
     reset();
 }
@@ -77,6 +90,7 @@
     parser.data = this;
     state = read_state::Empty;
     headerBytes = 0;
+    encodedBytes = 0;
     isNewFieldNext = true;
     isHeaderComplete = false;
     isEndedByClose = false;
@@ -84,17 +98,29 @@
     reason.clear();
     headers.clear();
     body.clear();
+    memory.release();
 }
 
 bool message_reader::implementation::addHeaderBytes(std::size_t bytes)
 {
     headerBytes += bytes;
-    if (headerBytes <= limits.headerBytes)
+    if (headerBytes <= limits.headerBytes && updateMemory())
         return true;
     state = read_state::HeaderTooLarge;
     return false;
 }
 
+bool message_reader::implementation::updateMemory()
+{
+    return memory.resize(headerBytes + headers.capacity() * sizeof(header_field) + body.capacity());
+}
+
+bool message_reader::implementation::isEncodingTooLarge() const
+{
+    return isHeaderComplete
+        && encodedBytes > 2 * limits.headerBytes + (1 + maximumEncodingOverhead) * limits.bodyBytes;
+}
+
 int message_reader::implementation::appendFieldName(std::string_view part)
 {
     // The colon, a space and the line end of a field count as 4 bytes.
@@ -145,6 +171,10 @@
         return 1;
     }
     body.append(part);
+    if (!updateMemory()) {
+        state = read_state::BodyTooLarge;
+        return 1;
+    }
     return 0;
 }
 
@@ -195,8 +225,8 @@
     return settings;
 }
 
-message_reader::message_reader(direction messages, message_limits limits)
-    : m_implementation(std::make_unique<implementation>(messages, limits))
+message_reader::message_reader(direction messages, message_limits limits, receive_memory *memory)
+    : m_implementation(std::make_unique<implementation>(messages, limits, memory))
 { }
 
 message_reader::~message_reader() = default;
@@ -209,8 +239,11 @@
         return 0;
     const std::size_t consumed =
         http_parser_execute(&self.parser, &implementation::callbacks(), data.data(), data.size());
+    self.encodedBytes += consumed;
     if (self.state == read_state::Empty && consumed > 0)
         self.state = read_state::Partial;
+    if (self.state == read_state::Partial && self.isEncodingTooLarge())
+        self.state = read_state::BodyTooLarge;
     const auto failure = static_cast<http_errno>(self.parser.http_errno);
     const bool isReading = self.state == read_state::Empty || self.state == read_state::Partial;
     if (isReading && (failure != HPE_OK || self.parser.upgrade != 0))
--- a/modules/serving/part_dispatcher.cpp
+++ b/modules/serving/part_dispatcher.cpp
@@ -48,9 +48,11 @@
 /** Connections to another host, and whether it is avoided. */
 struct part_dispatcher::peer
 {
-    peer(net::loop &loop, const clock &clock, const endpoint &address)
+    peer(net::loop &loop, const clock &clock, const endpoint &address, http::receive_memory &memory)
         : pool(loop, clock, address,
-               {.maximumConnections = maximumConnections, .responseLimits = answerLimits})
+               {.maximumConnections = maximumConnections,
+                .responseLimits = answerLimits,
+                .memory = &memory})
     { }
 
     http::client_pool pool;
@@ -81,11 +83,13 @@
 };
 
 part_dispatcher::part_dispatcher(net::loop &loop, const clock &clock, const logger &log,
-                                 serving_metrics &metrics, host_id ownHost)
+                                 serving_metrics &metrics, http::receive_memory &memory,
+                                 host_id ownHost)
     : m_loop(loop)
     , m_clock(clock)
     , m_log(log)
     , m_metrics(metrics)
+    , m_memory(memory)
     , m_ownHost(std::move(ownHost))
 { }
 
@@ -112,7 +116,7 @@
 {
     std::unique_ptr<peer> &entry = m_peers[host.address];
     if (!entry)
-        entry = std::make_unique<peer>(m_loop, m_clock, host.address);
+        entry = std::make_unique<peer>(m_loop, m_clock, host.address, m_memory);
     return *entry;
 }
 
--- a/modules/serving/serving_metrics.cpp
+++ b/modules/serving/serving_metrics.cpp
@@ -92,6 +92,11 @@
                          "Bytes of store changes that this host has sent to other hosts"))
     , relayOverLimit(counter(m_registry, "mustardcourse_relay_over_limit_total",
                              "Responses that exceeded the relay's share of its host's link"))
+    , receivePeak(gauge(m_registry, "mustardcourse_receive_peak_bytes",
+                        "Most memory that messages of targets, hosts and the store took while they "
+                        "were read"))
+    , receiveRefusals(counter(m_registry, "mustardcourse_receive_refusals_total",
+                              "Such messages that were given up as all together took too much"))
     , loopTurnTime(timeHistogram(m_registry, "mustardcourse_loop_turn_seconds",
                                  "Time between two waits for events, in which nothing is read"))
     , connectionTime(timeHistogram(m_registry, "mustardcourse_connection_seconds",
--- a/modules/serving/target_connections.cpp
+++ b/modules/serving/target_connections.cpp
@@ -21,10 +21,11 @@
 } // namespace
 
 target_connections::target_connections(net::loop &loop, const clock &clock,
-                                       serving_metrics &metrics)
+                                       serving_metrics &metrics, http::receive_memory &memory)
     : m_loop(loop)
     , m_clock(clock)
     , m_metrics(metrics)
+    , m_memory(memory)
 { }
 
 http::client_pool &target_connections::poolOf(const target_registration &target,
@@ -37,7 +38,8 @@
     }
     if (found != m_pools.end())
         m_pools.erase(found);
-    const http::client_pool_settings settings{.maximumConnections = shareOf(limit)};
+    const http::client_pool_settings settings{.maximumConnections = shareOf(limit),
+                                              .memory = &m_memory};
     auto pool = std::make_unique<http::client_pool>(m_loop, m_clock, target.address, settings);
     return *m_pools.emplace(target.instance, target_pool{target, std::move(pool)})
                 .first->second.pool;
--- a/modules/settings/serving_settings.cpp
+++ b/modules/settings/serving_settings.cpp
@@ -88,6 +88,8 @@
     constexpr double maximumCores = 1024;
     const double cores = host.number("cores", 1, 0.001, maximumCores);
     settings.cores = core_share(cores * host.number("core_speed", 1, 0.001, maximumCores));
+    constexpr std::uint64_t defaultMegabytes = 160;
+    settings.memory = megabytes(host.count("memory_mb", defaultMegabytes, 8, 1024 * 1024));
     host.rejectUnknownKeys();
 
     readListen(settings, document);
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -118,6 +118,8 @@
     }
     [[nodiscard]] bool isListening() const noexcept { return m_listener.has_value(); }
 
+    /** Sets the maximum number of requests that run at the same time. */
+    void setSlots(std::size_t slots) { m_settings.slots = slots; }
     void setWorkTime(std::chrono::milliseconds workTime) { m_settings.workTime = workTime; }
 
     /** Returns the registration document of this target, as it is written to the store. */
--- a/tests/blocking_connection.h
+++ b/tests/blocking_connection.h
@@ -45,6 +45,13 @@
                 == static_cast<ssize_t>(bytes.size()));
     }
 
+    /** Sends what the kernel takes at once; does nothing once the peer has closed. */
+    void trySend(std::string_view bytes) const
+    {
+        static_cast<void>(
+            ::send(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+    }
+
     /** Returns the first bytes that have arrived. */
     [[nodiscard]] std::string receive() const
     {
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -99,8 +99,9 @@
                                }};
     scripted_store directStore;
     std::size_t storeUnreachableCount = 0;
+    http::receive_memory memory{megabytes(20)};
     relayed_store<scripted_store> relayedStore{
-        loop, time, log, directStore, ownRelay, [this] { ++storeUnreachableCount; }};
+        loop, time, log, directStore, ownRelay, memory, [this] { ++storeUnreachableCount; }};
     std::vector<store_batch> results;
 };
 
--- a/tests/part_dispatcher_test.cpp
+++ b/tests/part_dispatcher_test.cpp
@@ -178,7 +178,8 @@
     serving_metrics metrics;
     std::vector<std::unique_ptr<stub_gatherer>> gatherers;
     std::vector<gatherer> hosts;
-    part_dispatcher dispatcher{loop, time, log, metrics, host_id("own")};
+    http::receive_memory memory{megabytes(20)};
+    part_dispatcher dispatcher{loop, time, log, metrics, memory, host_id("own")};
 };
 
 } // namespace
--- a/tests/relay_property_test.cpp
+++ b/tests/relay_property_test.cpp
@@ -33,7 +33,7 @@
                      mirror.onNewEra(era);
                  })
         , relay(time)
-        , watched(loop, time, log, client, relay, [this] { mirror.recordStoreFailure(); })
+        , watched(loop, time, log, client, relay, memory, [this] { mirror.recordStoreFailure(); })
         , mirror(loop, time, log, watched, recorder,
                  {.prefixes = {""},
                   .watchedPrefix = "",
@@ -47,6 +47,7 @@
 
     model_client client;
     change_relay relay;
+    http::receive_memory memory{megabytes(20)};
     relayed_store<model_client> watched;
     value_recorder recorder{[this] {
         return value_recorder::mirror_state{mirror.progress().position.era(), mirror.isComplete()};
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -146,6 +146,23 @@
           == data_rate::megabitsPerSecond(20));
 }
 
+TEST_CASE("the memory of a host is read and has a default and bounds")
+{
+    const auto withMemory = [](const std::string &value) {
+        std::string text = validServingHost;
+        return text.replace(text.find('\n') + 1, 0, "memory_mb = " + value + "\n");
+    };
+    CHECK(readServing(validServingHost).memory == megabytes(160));
+    CHECK(readServing(withMemory("260")).memory == megabytes(260));
+    const invalid_text testCases[] = {
+        {"none", withMemory("0"), settings_fault::OutOfRange, 2, "memory_mb"},
+        {"more than a terabyte", withMemory("1048577"), settings_fault::OutOfRange, 2, "memory_mb"},
+        {"not a number", withMemory("much"), settings_fault::BadValue, 2, "memory_mb"},
+    };
+    for (const invalid_text &testCase : testCases)
+        checkRejected(testCase, readServing);
+}
+
 TEST_CASE("invalid network settings are rejected with the error position")
 {
     const invalid_text testCases[] = {
--- a/tests/single_host_fixture.h
+++ b/tests/single_host_fixture.h
@@ -71,8 +71,10 @@
         store.put("servers/i-0", registration.dump());
     }
 
-    /** Writes a configuration with the routes "/path-0/" to "/path-N/". */
-    void writeConfiguration(std::uint64_t version, std::size_t furtherRoutes)
+    /** Writes a configuration with the routes "/path-0/" to "/path-N/".
+        @param connections  maximum number of connections to the target */
+    void writeConfiguration(std::uint64_t version, std::size_t furtherRoutes,
+                            std::size_t connections = 20)
     {
         using nlohmann::json;
         json routes = json::array();
@@ -86,7 +88,8 @@
                               {"Priority", 1},
                               {"MaxAttempts", 2},
                               {"Service", "s1"}});
-        const json service{{"Name", "s1"}, {"HealthPath", "/health"}, {"MaxConnections", 20}};
+        const json service{
+            {"Name", "s1"}, {"HealthPath", "/health"}, {"MaxConnections", connections}};
         store.put(
             "op/config",
             json{{"ConfigVersion", version}, {"Routes", routes}, {"Services", {service}}}.dump());
