Count a spent test whose entry is seen again before the next one

Cause, found by reading the diff: while this host requested the next test of a request, the entry of its own former test, written again after a restore of the store, was taken for a permission that had run out, and was returned with one spent test less; a request that ends its targets could so reach one more.

Change: such an entry changes nothing while another test is requested.

Evidence: "a spent test of this host counts although its entry is seen again before the next one" failed before (the permission was being returned, nothing was requested) and passes.

--- a/modules/serving/suspect_requests.cpp
+++ b/modules/serving/suspect_requests.cpp
@@ -299,7 +299,10 @@
         entry.test = stateWithoutOwnTest(entry);
         return;
     }
-    if (holder == entry.ownHolder && hasFreshPermission(entry))
+    const bool isEarlierTest = holder != entry.ownHolder;
+    if (isEarlierTest && entry.test == test_state::Requested)
+        return;
+    if (!isEarlierTest && hasFreshPermission(entry))
         entry.test = test_state::Granted;
     else
         returnPermission(entry);
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -380,6 +380,24 @@
     CHECK(f.second.permissionFor(suspicious) == send_permission::Denied);
 }
 
+TEST_CASE("a spent test of this host counts although its entry is seen again before the next one")
+{
+    fixture f;
+    f.endTargets(3);
+    f.spendTest(f.first);
+    f.time.advance(suspect_limits().retestDelay);
+    CHECK(f.first.permissionFor(suspicious) == send_permission::Awaited);
+    // The store was restored, and a host has written the entry again.
+    const auto entries = f.store.entries();
+    for (const auto &[name, value] : entries)
+        f.store.put(name, value);
+    CHECK(f.first.returnedTests().empty());
+    CHECK(f.first.requestedTests().size() == 1);
+    const std::string before = entries.at(suspect_requests::testEntryName(suspicious));
+    CHECK(before.starts_with("0:"));
+    CHECK(f.first.beginTestRequest(suspicious).value.starts_with("1:"));
+}
+
 TEST_CASE("a permission whose response was lost is used once its entry is seen")
 {
     fixture f;
