--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -257,6 +257,8 @@
         CHECK(answer.status == 200);
         CHECK(headerOf(answer, "X-Missing-Parts") == "1");
         const http::response once = f.get("/once/x", callerPort, "POST", "booking");
+        CAPTURE(once.status);
+        CAPTURE(f.runCountOf("booking"));
         CHECK((once.status == 502 || once.status == 504));
         CHECK(f.runCountOf("booking") <= 1);
         f.runFor(cutOffTime);
