--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -88,9 +88,9 @@
             return false;
         }
         if (header("X-Expected-Instance") != m_owner.m_settings.instance) {
-            m_stream->write(fmt::format("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {}\r\n"
-                                        "Content-Length: 0\r\n\r\n",
-                                        m_owner.m_settings.instance));
+            m_stream->write(fmt::format("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {}\r\n"
+                                        "X-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                                        header("X-Attempt-Id"), m_owner.m_settings.instance));
             return true;
         }
         const bool isFull =
@@ -168,8 +168,52 @@
                 formatResponse(200, "another", "another.stamp", contentLength(firstHalf), firstHalf)
                 + formatResponse(200, id, serverStamp, reportHeaders() + contentLength(body),
                                  body));
+        case target_fault::UnidentifiedRejection:
+        case target_fault::UnidentifiedSuccess:
+        case target_fault::UnsignedSuccess:
+        case target_fault::RefusalAfterRun:
+            return m_stream->write(misleadingResponse(fault));
         case target_fault::MalformedResponse:
             return m_stream->write("these bytes are no answer\r\n\r\n");
+        case target_fault::EndlessHeader:
+        case target_fault::EndlessBody:
+        case target_fault::EndlessChunks:
+        case target_fault::EndlessInterimResponses:
+        case target_fault::EndlessOtherResponses:
+        case target_fault::TricklingBody:
+            return respondEndlessly(fault);
+        }
+    }
+
+    /** Returns a response whose fields say something else than the target has done. */
+    [[nodiscard]] std::string misleadingResponse(target_fault fault) const
+    {
+        const std::string id = header("X-Attempt-Id");
+        const std::string serverStamp = m_owner.m_settings.instance + "." + id;
+        const std::string body = m_owner.body();
+        const std::string firstHalf = body.substr(0, body.size() / 2);
+        const std::string ownResponse =
+            formatResponse(200, id, serverStamp, contentLength(body), body);
+        switch (fault) {
+        case target_fault::UnidentifiedRejection:
+            return "HTTP/1.1 503 Answer\r\nX-Not-Executed: 1\r\n" + contentLength("") + "\r\n"
+                + ownResponse;
+        case target_fault::UnidentifiedSuccess:
+            return "HTTP/1.1 200 Answer\r\nX-Server-Stamp: another.stamp\r\n"
+                + contentLength(firstHalf) + "\r\n" + firstHalf + ownResponse;
+        case target_fault::UnsignedSuccess:
+            return fmt::format("HTTP/1.1 200 Answer\r\nX-Attempt-Id: {}\r\n{}\r\n{}", id,
+                               contentLength(body), body);
+        default:
+            return formatResponse(503, id, serverStamp, contentLength(""), "");
+        }
+    }
+
+    void respondEndlessly(target_fault fault)
+    {
+        const std::string id = header("X-Attempt-Id");
+        const std::string serverStamp = m_owner.m_settings.instance + "." + id;
+        switch (fault) {
         case target_fault::EndlessHeader:
             return beginEndless("HTTP/1.1 200 Answer\r\n", "X-Filler: 0123456789abcdef\r\n", 1000);
         case target_fault::EndlessBody:
@@ -184,7 +228,7 @@
         case target_fault::EndlessOtherResponses:
             return beginEndless("", formatResponse(200, "another", "stamp", contentLength(""), ""),
                                 100);
-        case target_fault::TricklingBody:
+        default:
             return beginEndless(
                 formatResponse(200, id, serverStamp, "Content-Length: 100000\r\n", ""), "0", 1);
         }
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -31,6 +31,14 @@
     UnframedTruncatedBody,
     /** Sends a response with the id of another request before its own. */
     MismatchedId,
+    /** Sends a rejection without the id of a request before its own response. */
+    UnidentifiedRejection,
+    /** Sends a success without the id of a request before its own response. */
+    UnidentifiedSuccess,
+    /** Runs the request and responds without the proof of its origin. */
+    UnsignedSuccess,
+    /** Runs the request and responds with status 503, without a report that it was not run. */
+    RefusalAfterRun,
     /** Sends bytes that are not HTTP. */
     MalformedResponse,
     /** Closes the connection when a request arrives, without running it. */
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -213,6 +213,8 @@
         {"truncated", target_fault::TruncatedBody, 502, 1},
         {"silent", target_fault::NoResponse, 504, 1},
         {"another's answer first", target_fault::MismatchedId, 200, 1},
+        {"a rejection of no request first", target_fault::UnidentifiedRejection, 200, 1},
+        {"an answer to no request first", target_fault::UnidentifiedSuccess, 200, 1},
         {"garbage", target_fault::MalformedResponse, 502, 1},
         {"closed", target_fault::ConnectionClosed, 502, 0},
     };
