Forward only failures that a target has signed

Cause: the host counted such a response as lost, and kept it as the last failure, which is forwarded; that was meant for a response that may be truncated. One outcome, two meanings.

Change: the format says of each response whether it may be forwarded. Without the stamp the caller gets 502.

--- a/include/mustardcourse/serving/query_service_attempts.h
+++ b/include/mustardcourse/serving/query_service_attempts.h
@@ -242,12 +242,12 @@
     query_shard &shard = query.shards[finishedAttempt.shardIndex];
     const bool isFirstAnswer = !query.progress.isAnswered(finishedAttempt.shardIndex);
     query.progress.recordOutcome(finishedAttempt.shardIndex, outcome);
-    const bool canForwardResponse =
-        outcome == attempt_outcome::Failed || outcome == attempt_outcome::Lost;
+    const bool canForwardResponse = answer && answer->isForwardable
+        && (outcome == attempt_outcome::Failed || outcome == attempt_outcome::Lost);
     if (outcome == attempt_outcome::Answered && isFirstAnswer) {
         shard.answer = std::move(answer);
         shard.missingReason = missing_shard_reason::None;
-    } else if (canForwardResponse && answer && !query.matchedRoute->queriesAllShards())
+    } else if (canForwardResponse && !query.matchedRoute->queriesAllShards())
         query.lastFailure = std::move(answer);
     if (outcome != attempt_outcome::Answered) {
         m_environment.log.writeRateLimited("attempt-ended",
--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -32,6 +32,9 @@
 struct target_answer
 {
     attempt_outcome outcome = attempt_outcome::Lost;
+    /** Whether the caller may be sent the response, as it is, if no other is had: it comes from
+        the target. */
+    bool isForwardable = false;
     /** Whether it comes from a different instance than the request was meant for. */
     bool isFromOtherInstance = false;
     /** Signature of the target, which proves the origin of the answer; forwarded to the caller. */
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -215,6 +215,7 @@
         {"another's answer first", target_fault::MismatchedId, 200, 1},
         {"a rejection of no request first", target_fault::UnidentifiedRejection, 200, 1},
         {"an answer to no request first", target_fault::UnidentifiedSuccess, 200, 1},
+        {"a success of unknown origin", target_fault::UnsignedSuccess, 502, 1},
         {"garbage", target_fault::MalformedResponse, 502, 1},
         {"closed", target_fault::ConnectionClosed, 502, 0},
     };
@@ -232,6 +233,30 @@
     }
 }
 
+// Guards against a host that passes on what looks like a target's answer but is none, or a refusal
+// of a request that a target has run.
+TEST_CASE("a response that proves no origin or denies a run is not forwarded")
+{
+    struct row
+    {
+        std::string name;
+        target_fault fault;
+        std::size_t expectedRuns;
+    };
+    const row rows[] = {
+        {"a success of unknown origin", target_fault::UnsignedSuccess, 2},
+    };
+    for (const row &item : rows) {
+        CAPTURE(item.name);
+        platform_fixture f;
+        f.setFault({0, 1, 2, 3}, item.fault);
+        const http::response answer = f.get("/one/x");
+        CHECK(answer.status == 502);
+        CHECK(headerOf(answer, "X-Server-Stamp") == "none");
+        CHECK(f.runCountOf() == item.expectedRuns);
+    }
+}
+
 TEST_CASE("a target that sends without end is cut off and costs no more than its shard")
 {
     struct row
