Forward no refusal of a request that may have run

Cause: a target's failure is forwarded with its status, whatever that promises.

Change: 408, 421, 429 and 503 of a target are not forwarded if the request may have run; the caller gets 502 without the stamp.

Evidence: a row in each of two tests failed before (503 instead of 502) and passes, three times.

--- a/include/mustardcourse/serving/request_format.h
+++ b/include/mustardcourse/serving/request_format.h
@@ -33,7 +33,7 @@
 {
     attempt_outcome outcome = attempt_outcome::Lost;
     /** Whether the caller may be sent the response, as it is, if no other is had: it comes from
-        the target. */
+        the target, and does not state that a request that may have run has not. */
     bool isForwardable = false;
     /** Whether it comes from a different instance than the request was meant for. */
     bool isFromOtherInstance = false;
--- a/tests/platform_host_test.cpp
+++ b/tests/platform_host_test.cpp
@@ -216,6 +216,7 @@
         {"a rejection of no request first", target_fault::UnidentifiedRejection, 200, 1},
         {"an answer to no request first", target_fault::UnidentifiedSuccess, 200, 1},
         {"a success of unknown origin", target_fault::UnsignedSuccess, 502, 1},
+        {"refused after it has run", target_fault::RefusalAfterRun, 502, 1},
         {"garbage", target_fault::MalformedResponse, 502, 1},
         {"closed", target_fault::ConnectionClosed, 502, 0},
     };
@@ -245,6 +246,7 @@
     };
     const row rows[] = {
         {"a success of unknown origin", target_fault::UnsignedSuccess, 2},
+        {"a refusal after the run", target_fault::RefusalAfterRun, 2},
     };
     for (const row &item : rows) {
         CAPTURE(item.name);
