Close a connection when its response has been sent, and reset what is cut

Cause: the time for a caller to close began when the response was handed to the stream, and the bytes that the kernel had not taken went with the connection, which the kernel closes in an orderly way. Related: a connection that still sends counted as idle, for the idle timeout and at a planned stop.

Change: the stream reports when all has been handed to the kernel; the time to close begins then. A connection that sends isn't idle. One with unsent bytes ends with a reset. Without progress for 10 s the rest is dropped.

--- a/include/mustardcourse/net/stream.h
+++ b/include/mustardcourse/net/stream.h
@@ -34,6 +34,9 @@
     /** Data has arrived; the view is valid only during the call. */
     virtual void onData(std::string_view data) = 0;
 
+    /** All data has been handed to the kernel after stream::finish(). */
+    virtual void onSent() { }
+
     /** The stream has ended. No further calls follow, and the handler may destroy the stream. */
     virtual void onEnd(stream_end_reason reason) = 0;
 };
@@ -47,7 +50,8 @@
     std::chrono::seconds keepAliveIdleTime{0};
 };
 
-/** A TCP connection. Destroying it closes the connection immediately. */
+/** A TCP connection. Destroying it closes the connection immediately; with a reset if there is
+   unsent data, so that a peer which reads until the end notices that it is truncated. */
 class stream
 {
 public:
@@ -73,8 +77,8 @@
     /** Returns the number of queued bytes that the kernel has not accepted yet. */
     [[nodiscard]] std::size_t unsentBytes() const noexcept;
 
-    /** Sends the queued data and shuts down the sending side. onEnd() follows when the peer closes
-        its side. */
+    /** Sends the queued data and shuts down the sending side. onSent() follows, and onEnd() when
+       the peer closes its side. */
     void finish();
 
 private:
--- a/modules/http/caller_connection.h
+++ b/modules/http/caller_connection.h
@@ -29,6 +29,7 @@
 
 private:
     void onData(std::string_view data) override;
+    void onSent() override;
     void onEnd(net::stream_end_reason reason) override;
 
     void parse();
@@ -36,6 +37,8 @@
     void refuse(int status);
     void onTimeout();
     void startIdleTimer();
+    /** Starts the timer that drops the rest of a response when the caller no longer reads it. */
+    void awaitSending();
     void finish();
 
     caller_server &m_server;
@@ -51,6 +54,8 @@
     time_point m_requestBegin;
     caller_exchange *m_exchange = nullptr;
     time_point m_idleSince;
+    /** Bytes that were unsent when the timer was started to await their sending. */
+    std::size_t m_unsentBytes = 0;
     bool m_isFirstRequest = true;
     bool m_isKeepAlive = true;
     bool m_isFinishing = false;
--- a/modules/http/caller_server.cpp
+++ b/modules/http/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "caller_connection.h"
 
 #include <string>
+#include <utility>
 
 namespace mustardcourse::http {
 
@@ -10,6 +11,10 @@
     and lose the response. */
 constexpr std::chrono::seconds lingeringCloseTimeout{1};
 
+/** Time without progress after which the rest of a response is dropped; a caller may pause while it
+    reads. */
+constexpr std::chrono::seconds sendStallTimeout{10};
+
 } // namespace
 
 caller_exchange::caller_exchange(caller_connection &connection, request receivedRequest,
@@ -67,8 +72,8 @@
 
 bool caller_connection::isIdleFor(duration minimumIdleTime) const
 {
-    const bool isIdle =
-        m_exchange == nullptr && m_unparsedData.empty() && m_reader.state() == read_state::Empty;
+    const bool isIdle = m_exchange == nullptr && m_unparsedData.empty()
+        && m_reader.state() == read_state::Empty && m_stream->unsentBytes() == 0;
     return isIdle && !m_isFinishing && m_server.m_clock.now() - m_idleSince >= minimumIdleTime;
 }
 
@@ -84,13 +89,23 @@
         m_timer.start(m_idleSince + m_server.m_limits.idleTimeout - m_server.m_clock.now());
 }
 
+void caller_connection::awaitSending()
+{
+    m_unsentBytes = m_stream->unsentBytes();
+    m_timer.start(sendStallTimeout);
+}
+
 void caller_connection::onTimeout()
 {
-    if (m_isFinishing || m_reader.state() == read_state::Empty) {
-        delete this;
-        return;
-    }
-    refuse(408);
+    if (!m_isFinishing && m_reader.state() != read_state::Empty)
+        return refuse(408);
+    const std::size_t unsentBytes = m_stream->unsentBytes();
+    if (unsentBytes > 0 && unsentBytes != m_unsentBytes)
+        return awaitSending();
+    const bool hasJustBeenSent = unsentBytes == 0 && std::exchange(m_unsentBytes, 0) > 0;
+    if (hasJustBeenSent && !m_isFinishing)
+        return startIdleTimer();
+    delete this;
 }
 
 void caller_connection::onData(std::string_view data)
@@ -218,7 +233,12 @@
     m_isFinishing = true;
     m_unparsedData.clear();
     m_unparsedMemory.release();
+    awaitSending();
     m_stream->finish();
+}
+
+void caller_connection::onSent()
+{
     m_timer.start(lingeringCloseTimeout);
 }
 
--- a/modules/net/stream.cpp
+++ b/modules/net/stream.cpp
@@ -90,6 +90,15 @@
                    sizeof(maximumUnansweredProbes));
     }
 
+    void resetOnClose()
+    {
+        uv_os_fd_t descriptor = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t *>(&tcp), &descriptor) != 0)
+            return;
+        const linger immediately{.l_onoff = 1, .l_linger = 0};
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    }
+
     void startReading()
     {
         isConnected = true;
@@ -134,6 +143,8 @@
 stream::~stream()
 {
     m_implementation->handler = nullptr;
+    if (unsentBytes() > 0)
+        m_implementation->resetOnClose();
     uv_close(reinterpret_cast<uv_handle_t *>(&m_implementation->tcp),
              [](uv_handle_t *handle) { delete &implementation::of(handle); });
 }
@@ -211,7 +222,11 @@
     if (self.isFinishing)
         return;
     self.isFinishing = true;
-    uv_shutdown(&self.shutdownRequest, self.asStream(), [](uv_shutdown_t *, int) {});
+    uv_shutdown(&self.shutdownRequest, self.asStream(), [](uv_shutdown_t *request, int status) {
+        stream_handler *handler = implementation::of(request->handle).handler;
+        if (status == 0 && handler != nullptr)
+            handler->onSent();
+    });
 }
 
 struct listener::implementation
