Write log lines that never block their host

Cause: the log is written to a blocking descriptor after poll(). A pipe is writable as soon as one of its pages is free, so a longer line blocks; paths, and text of targets and other writers, are logged whole.

Change: a line has at most PIPE_BUF bytes, which a writable pipe takes at once and whole. Long values are shortened, and a line without room for all fields says so. Standard output is made non-blocking if it is a pipe or a socket, as other processes may write to the same one.

--- a/apps/mustardd/main.cpp
+++ b/apps/mustardd/main.cpp
@@ -12,6 +12,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <unistd.h>
 
 ABSL_FLAG(std::string, settings, "", "path of the host's settings file");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and exit");
@@ -87,5 +88,6 @@
                                  "  mustardd --settings=FILE [--check-settings]");
     mustardcourse::acceptDashesInFlags(argc, argv);
     absl::ParseCommandLine(argc, argv);
+    mustardcourse::logger::makeNonBlocking(STDOUT_FILENO);
     return run();
 }
--- a/include/mustardcourse/core/log.h
+++ b/include/mustardcourse/core/log.h
@@ -35,10 +35,12 @@
 };
 
 /**
-    Writes one line of key=value pairs for each event to standard output.
+    Writes one line of key=value pairs for each event, by default to standard output.
 
     It never blocks: if the output is not writable, for example as its reader is too slow, the line
-    is dropped and counted.
+    is dropped and counted. Lines have a maximum size up to which a writable pipe takes them as a
+    whole: a long value is shortened, and a line without room for all fields ends with
+    "incomplete=yes".
 
     All components of a process share one logger. Never pass credentials or request bodies as
     fields.
@@ -46,7 +48,12 @@
 class logger
 {
 public:
-    logger(const clock &clock, std::string host, log_level threshold);
+    /** @param output  the descriptor that is written to */
+    logger(const clock &clock, std::string host, log_level threshold, int output = 1);
+
+    /** Makes writes fail that would block, if the output is a pipe or a socket. Needed if other
+        processes write to the same one, as they may fill it at any moment. */
+    static void makeNonBlocking(int output);
 
     /** Writes the time, the level, the host, the event's name and the fields. */
     void write(log_level level, std::string_view event,
@@ -80,9 +87,12 @@
     [[nodiscard]] std::uint64_t droppedCount() const noexcept { return m_dropped; }
 
 private:
+    void writeLine(std::string_view line) const;
+
     const clock &m_clock;
     std::string m_host;
     log_level m_threshold;
+    int m_output;
     mutable time_point m_rateWindowStart{};
     mutable std::size_t m_linesInWindow = 0;
     mutable std::size_t m_suppressedInWindow = 0;
--- a/modules/core/log.cpp
+++ b/modules/core/log.cpp
@@ -3,7 +3,10 @@
 #include <fmt/chrono.h>
 
 #include <algorithm>
+#include <climits>
+#include <fcntl.h>
 #include <poll.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
 
@@ -14,6 +17,17 @@
 /** Shared by all rate-limited events; a few tens per second are enough to diagnose a failure. */
 constexpr std::size_t maximumRateLimitedLinesPerSecond = 40;
 
+/** Longest line, with its end; a pipe takes this much as a whole or not at all. */
+constexpr std::size_t maximumLineBytes = PIPE_BUF;
+
+/** Longest value; the rest of a longer one is replaced by an ellipsis. */
+constexpr std::size_t maximumValueBytes = maximumLineBytes / 2;
+
+constexpr std::string_view ellipsis = "...";
+
+/** Ends a line that has no room for all of its fields. */
+constexpr std::string_view incompleteLineEnd = " incomplete=yes";
+
 bool needsQuoting(std::string_view value)
 {
     if (value.empty())
@@ -35,13 +49,26 @@
     line.push_back('"');
 }
 
-void appendField(fmt::memory_buffer &line, std::string_view key, std::string_view value)
+/** Appends a field to a line. Returns false if the line has no room for it. */
+bool appendField(fmt::memory_buffer &line, std::string_view key, std::string_view value)
 {
-    fmt::format_to(std::back_inserter(line), " {}=", key);
+    fmt::memory_buffer field;
+    fmt::format_to(std::back_inserter(field), " {}=", key);
+    std::string shortenedValue;
+    if (value.size() > maximumValueBytes) {
+        shortenedValue = value.substr(0, maximumValueBytes - ellipsis.size());
+        value = shortenedValue.append(ellipsis);
+    }
     if (needsQuoting(value))
-        appendQuoted(line, value);
+        appendQuoted(field, value);
     else
-        line.append(value);
+        field.append(value);
+
+    const std::size_t endBytes = incompleteLineEnd.size() + 1;
+    if (line.size() + field.size() + endBytes > maximumLineBytes)
+        return false;
+    line.append(field);
+    return true;
 }
 
 } // namespace
@@ -61,12 +88,27 @@
     return "unknown";
 }
 
-logger::logger(const clock &clock, std::string host, log_level threshold)
+logger::logger(const clock &clock, std::string host, log_level threshold, int output)
     : m_clock(clock)
     , m_host(std::move(host))
     , m_threshold(threshold)
+    , m_output(output)
 { }
 
+void logger::makeNonBlocking(int output)
+{
+    struct stat status
+    {
+    };
+    const bool canBlock =
+        ::fstat(output, &status) == 0 && (S_ISFIFO(status.st_mode) || S_ISSOCK(status.st_mode));
+    if (!canBlock)
+        return;
+    const int flags = ::fcntl(output, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(output, F_SETFL, flags | O_NONBLOCK);
+}
+
 void logger::write(log_level level, std::string_view event,
                    std::initializer_list<log_field> fields) const
 {
@@ -81,13 +123,20 @@
                    nameOf(level));
     appendField(line, "host", m_host);
     appendField(line, "event", event);
+    bool isComplete = true;
     for (const log_field &field : fields)
-        appendField(line, field.key, field.value);
-
+        isComplete = appendField(line, field.key, field.value) && isComplete;
+    if (!isComplete)
+        line.append(incompleteLineEnd);
     line.push_back('\n');
-    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    writeLine({line.data(), line.size()});
+}
+
+void logger::writeLine(std::string_view line) const
+{
+    pollfd output{m_output, POLLOUT, 0};
     const bool isWritten = ::poll(&output, 1, 0) == 1
-        && ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+        && ::write(m_output, line.data(), line.size()) == static_cast<ssize_t>(line.size());
     m_dropped += isWritten ? 0 : 1;
 }
 
