--- a/tests/receive_memory_test.cpp
+++ b/tests/receive_memory_test.cpp
@@ -1,5 +1,7 @@
 // Guards against peers that send bytes without end and fill the memory of a host together.
 
+#include "allocated_memory.h"
+#include "endless_responses.h"
 #include "loop_fixture.h"
 #include "property.h"
 #include "single_host_fixture.h"
@@ -7,8 +9,6 @@
 #include <mustardcourse/http/client_pool.h>
 #include <mustardcourse/http/receive_memory.h>
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <array>
 #include <memory>
@@ -24,14 +24,6 @@
 /** Memory of the smallest hosts of the users. */
 constexpr memory_size smallHost = megabytes(160);
 
-/** Returns the memory that is allocated now; zero in a sanitized build, whose allocator counts
-    differently. */
-std::size_t allocatedBytes()
-{
-    const struct mallinfo2 info = ::mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 /** A peer that answers every request with some bytes and repeats others without end. */
 class endless_peer
 {
@@ -149,40 +141,11 @@
 
 TEST_CASE("a response without end is given up in whichever part of it the bytes come")
 {
-    struct row
-    {
-        std::string name;
-        std::string begin;
-        std::string repeated;
-    };
-    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    const row rows[] = {
-        {"bytes that are no response", "", "x"},
-        {"line ends before a response", "", "\r\n"},
-        {"a reason", "HTTP/1.1 200 ", "x"},
-        {"the name of a field", "HTTP/1.1 200 OK\r\n", "x"},
-        {"the value of a field", "HTTP/1.1 200 OK\r\nA: ", "x"},
-        {"spaces before a value", "HTTP/1.1 200 OK\r\nA:", " "},
-        {"the lines of a folded value", "HTTP/1.1 200 OK\r\nA: x", "\r\n x"},
-        {"empty fields", "HTTP/1.1 200 OK\r\n", "a:\r\n"},
-        {"a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "x"},
-        {"a body until the end", "HTTP/1.1 200 OK\r\n\r\n", "x"},
-        {"the length of a chunk", chunked, "0"},
-        {"a length of a chunk that is too large", chunked, "f"},
-        {"an extension of a chunk", chunked + "1;", "x"},
-        {"extensions of many chunks", chunked, "1;x=yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\nz\r\n"},
-        {"small chunks", chunked, "1\r\nx\r\n"},
-        {"a large chunk", chunked + "7fffffff\r\n", "x"},
-        {"the name of a trailer", chunked + "0\r\n", "x"},
-        {"the value of a trailer", chunked + "0\r\nA: ", "x"},
-        {"empty trailers", chunked + "0\r\n", "a:\r\n"},
-        {"interim responses", "", "HTTP/1.1 103 Early\r\nA: x\r\n\r\n"},
-    };
     constexpr std::size_t exchangeCount = 40;
     constexpr std::size_t limitBytes = std::size_t{1024} * 1024;
     // A response of the largest size, and what is on its way.
     constexpr std::size_t maximumSentBytes = std::size_t{16} * 1024 * 1024;
-    for (const row &testCase : rows) {
+    for (const tests::endless_response &testCase : tests::endlessResponses()) {
         CAPTURE(testCase.name);
         tests::loop_fixture f;
         endless_peer peer(f.loop, testCase.begin, testCase.repeated);
@@ -286,7 +249,7 @@
         f.startHost(settings);
         client_pool pool(f.loop, f.time, f.local(f.callerPort), {.maximumConnections = callers});
         std::size_t ended = 0;
-        const std::size_t before = allocatedBytes();
+        const std::size_t before = tests::allocatedBytes();
         for (std::size_t number = 0; number < callers; ++number)
             pool.send({.bytes = f.callerRequest(),
                        .matchesRequest = {},
@@ -294,7 +257,7 @@
         std::size_t peak = before;
         f.runUntil(
             [&] {
-                peak = std::max(peak, allocatedBytes());
+                peak = std::max(peak, tests::allocatedBytes());
                 return ended == callers;
             },
             15s);
