Reject responses whose status line is not valid

Seen by callers: a response of a target with the status 000 was passed on as "HTTP/1.1 0", for lookups and for bookings.

Cause: responses are read as http_parser reads them, and that is less strict than RFC 9112. It computes a status from any number of digits, skips more than one blank before it, takes any version and any letters for "HTTP", any byte in a reason, and any byte for the line feed after a carriage return; after the last, a whole field line is lost, and the body can be the fields.

Change: response_syntax examines the bytes of a status line before http_parser gets them, as they arrive. The reader is the only one for responses of targets, the store and other hosts on the platform, so the fix holds for all of them. A broken response ends its exchange as lost: it is not passed on, and a request that may not be repeated is answered 502, not as refused.

Ruled out: a check of the status after parsing. It would catch 000, but not 0200, the version, or bytes that the parser skips.

--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -1,5 +1,7 @@
 #include <mustardcourse/http/reader.h>
 
+#include "response_syntax.h"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -45,6 +47,11 @@
     static const http_parser_settings &callbacks();
 
     void reset();
+    /** Returns whether the message is incomplete and valid so far. */
+    [[nodiscard]] bool isReading() const;
+    /** Parses bytes and returns how many it consumed. */
+    std::size_t parse(std::string_view data);
+    std::size_t parseResponse(std::string_view data);
     bool addHeaderBytes(std::size_t bytes);
     /** Records what the message takes, and returns whether it fits beside the others. */
     bool updateMemory();
@@ -58,6 +65,7 @@
 
     http_parser parser{};
     http_parser_type type;
+    response_syntax syntax;
     message_limits limits;
     receive_memory::share memory;
     read_state state = read_state::Empty;
@@ -88,6 +96,7 @@
 {
     http_parser_init(&parser, type);
     parser.data = this;
+    syntax.reset();
     state = read_state::Empty;
     headerBytes = 0;
     encodedBytes = 0;
@@ -101,6 +110,34 @@
     memory.release();
 }
 
+bool message_reader::implementation::isReading() const
+{
+    return state == read_state::Empty || state == read_state::Partial;
+}
+
+std::size_t message_reader::implementation::parse(std::string_view data)
+{
+    return http_parser_execute(&parser, &callbacks(), data.data(), data.size());
+}
+
+std::size_t message_reader::implementation::parseResponse(std::string_view data)
+{
+    std::size_t consumed = 0;
+    while (consumed < data.size() && isReading()) {
+        const std::string_view rest = data.substr(consumed);
+        const std::size_t pieceSize = syntax.nextPiece(rest);
+        if (pieceSize == 0) {
+            state = read_state::Malformed;
+            return consumed;
+        }
+        const std::size_t parsed = parse(rest.substr(0, pieceSize));
+        consumed += parsed;
+        if (parsed < pieceSize)
+            return consumed;
+    }
+    return consumed;
+}
+
 bool message_reader::implementation::addHeaderBytes(std::size_t bytes)
 {
     headerBytes += bytes;
@@ -235,18 +272,17 @@
 {
     implementation &self = *m_implementation;
     // http_parser treats an empty input as the end of the stream.
-    if (data.empty() || (self.state != read_state::Empty && self.state != read_state::Partial))
+    if (data.empty() || !self.isReading())
         return 0;
     const std::size_t consumed =
-        http_parser_execute(&self.parser, &implementation::callbacks(), data.data(), data.size());
+        self.type == HTTP_RESPONSE ? self.parseResponse(data) : self.parse(data);
     self.encodedBytes += consumed;
     if (self.state == read_state::Empty && consumed > 0)
         self.state = read_state::Partial;
     if (self.state == read_state::Partial && self.isEncodingTooLarge())
         self.state = read_state::BodyTooLarge;
     const auto failure = static_cast<http_errno>(self.parser.http_errno);
-    const bool isReading = self.state == read_state::Empty || self.state == read_state::Partial;
-    if (isReading && (failure != HPE_OK || self.parser.upgrade != 0))
+    if (self.isReading() && (failure != HPE_OK || self.parser.upgrade != 0))
         self.state =
             failure == HPE_HEADER_OVERFLOW ? read_state::HeaderTooLarge : read_state::Malformed;
     return consumed;
--- a/standins/lib/platform_target.cpp
+++ b/standins/lib/platform_target.cpp
@@ -175,6 +175,9 @@
             return m_stream->write(misleadingResponse(fault));
         case target_fault::MalformedResponse:
             return m_stream->write("these bytes are no answer\r\n\r\n");
+        case target_fault::RawResponse:
+            m_stream->write(m_owner.m_rawResponse);
+            return m_stream->finish();
         case target_fault::EndlessHeader:
         case target_fault::EndlessBody:
         case target_fault::EndlessChunks:
--- a/standins/lib/platform_target.h
+++ b/standins/lib/platform_target.h
@@ -41,6 +41,9 @@
     RefusalAfterRun,
     /** Sends bytes that are not HTTP. */
     MalformedResponse,
+    /** Runs the request and sends bytes that were set, then closes the connection.
+        @see setRawResponse */
+    RawResponse,
     /** Closes the connection when a request arrives, without running it. */
     ConnectionClosed,
     /** Runs the request and sends a header without end. */
@@ -88,6 +91,8 @@
     void setFault(target_fault fault) { m_fault = fault; }
     /** Sets how many bytes of the head target_fault::TruncatedHead sends. */
     void setSentHeadBytes(std::size_t count) { m_sentHeadBytes = count; }
+    /** Sets the bytes that target_fault::RawResponse sends. */
+    void setRawResponse(std::string bytes) { m_rawResponse = std::move(bytes); }
     /** Sets whether every response states that the target leaves; it continues to serve. */
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
 
@@ -169,6 +174,7 @@
     platform_target_settings m_settings;
     target_fault m_fault = target_fault::None;
     std::size_t m_sentHeadBytes = 0;
+    std::string m_rawResponse;
     bool m_isLeaving = false;
     std::string m_requestedPause;
     std::string m_namedLimit;
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -1,5 +1,7 @@
 #include "loop_fixture.h"
 #include "property.h"
+#include "raw_responses.h"
+#include "scripted_peer.h"
 
 #include <mustardcourse/store/relay_choice.h>
 #include <mustardcourse/store/relayed_store.h>
@@ -486,3 +488,19 @@
         CHECK(f.directStore.watches.front().wait == 5500ms);
     }
 }
+
+TEST_CASE("a host takes no changes from a broken response of its relay")
+{
+    constexpr std::uint16_t brokenRelayPort = relayPort + 1;
+    const tests::response_content content{"", encodeBatch(batch({item("a", 11)}, 11))};
+    for (const tests::raw_response &testCase : tests::brokenResponses(content)) {
+        CAPTURE(testCase.name);
+        fixture f;
+        const tests::scripted_peer brokenRelay(f.loop, endpoint("127.0.0.1", brokenRelayPort),
+                                               testCase.bytes, true);
+        f.relayedStore.setRelays({endpoint("127.0.0.1", brokenRelayPort)});
+        f.watch(10);
+        f.runUntil([&] { return !f.directStore.watches.empty(); }, 500ms);
+        CHECK(f.results.empty());
+    }
+}
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -1,4 +1,5 @@
 #include "loop_fixture.h"
+#include "scripted_peer.h"
 
 #include <mustardcourse/http/caller_server.h>
 #include <mustardcourse/http/client_pool.h>
@@ -13,55 +14,6 @@
 
 const endpoint address("127.0.0.1", 20931);
 
-/** A peer that responds to every request with the same raw bytes, and may then close. */
-class scripted_peer
-{
-public:
-    scripted_peer(net::loop &loop, std::string answer, bool shouldClose)
-        : m_answer(std::move(answer))
-        , m_shouldClose(shouldClose)
-        , m_listener(loop, address, [this](std::unique_ptr<net::stream> acceptedStream) {
-            ++m_accepted;
-            m_connections.push_back(std::make_unique<connection>(*this, std::move(acceptedStream)));
-        })
-    { }
-
-    [[nodiscard]] std::size_t acceptedCount() const { return m_accepted; }
-
-private:
-    struct connection final : net::stream_handler
-    {
-        connection(scripted_peer &owner, std::unique_ptr<net::stream> acceptedStream)
-            : peer(owner)
-            , stream(std::move(acceptedStream))
-        {
-            stream->setHandler(*this);
-        }
-        void onData(std::string_view data) override
-        {
-            receivedData.append(data);
-            if (receivedData.find("\r\n\r\n") == std::string::npos)
-                return;
-            receivedData.clear();
-            if (!peer.m_answer.empty())
-                stream->write(peer.m_answer);
-            if (peer.m_shouldClose)
-                stream->finish();
-        }
-        void onEnd(net::stream_end_reason) override { }
-
-        scripted_peer &peer;
-        std::unique_ptr<net::stream> stream;
-        std::string receivedData;
-    };
-
-    std::string m_answer;
-    bool m_shouldClose;
-    std::size_t m_accepted = 0;
-    std::vector<std::unique_ptr<connection>> m_connections;
-    net::listener m_listener;
-};
-
 exchange_request makeRequest(std::optional<exchange_result> &result)
 {
     exchange_request request;
@@ -108,7 +60,7 @@
     for (const row &item : rows) {
         CAPTURE(item.name);
         tests::loop_fixture fixture;
-        const scripted_peer peer(fixture.loop, item.answer, item.shouldClose);
+        const tests::scripted_peer peer(fixture.loop, address, item.answer, item.shouldClose);
         client_pool pool(fixture.loop, fixture.time, address, {.maximumConnections = 2});
         std::optional<exchange_result> first;
         pool.send(makeRequest(first));
@@ -135,7 +87,7 @@
 TEST_CASE("a cancelled exchange calls no handler and frees its connection")
 {
     tests::loop_fixture fixture;
-    const scripted_peer peer(fixture.loop, "", false);
+    const tests::scripted_peer peer(fixture.loop, address, "", false);
     client_pool pool(fixture.loop, fixture.time, address, {.maximumConnections = 1});
     std::optional<exchange_result> result;
     const exchange_id exchange = pool.send(makeRequest(result));
@@ -151,7 +103,7 @@
 {
     tests::loop_fixture fixture;
     const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
-    const scripted_peer peer(fixture.loop, answer + answer, false);
+    const tests::scripted_peer peer(fixture.loop, address, answer + answer, false);
     client_pool pool(fixture.loop, fixture.time, address, {.maximumConnections = 1});
     std::optional<exchange_result> result;
     pool.send(makeRequest(result));
--- a/tests/part_dispatcher_test.cpp
+++ b/tests/part_dispatcher_test.cpp
@@ -2,6 +2,8 @@
 // another one, whatever the host does that it is sent to.
 
 #include "loop_fixture.h"
+#include "raw_responses.h"
+#include "scripted_peer.h"
 
 #include <mustardcourse/http/caller_server.h>
 #include <mustardcourse/serving/part_dispatcher.h>
@@ -296,3 +298,24 @@
     CHECK(f.send().end == part_end::Untaken);
     CHECK(f.sentCount(0) + f.sentCount(1) == 0);
 }
+
+TEST_CASE("a part that is answered with a broken response counts as one that may have run")
+{
+    part_answer answer;
+    answer.outcome = part_outcome::Answered;
+    answer.answers = {2, "a, b", std::string(16, 'x')};
+    const tests::response_content content{fmt::format("{}: 1\r\n", partNumberField),
+                                          encodePartAnswer(answer)};
+    const auto sendTo = [](const std::string &bytes) {
+        fixture f({behaviour::NotListening});
+        const tests::scripted_peer peer(f.loop, f.hosts.front().address, bytes, true);
+        return f.send();
+    };
+    CHECK(sendTo("HTTP/1.1 200 \r\n" + content.withLength()).end == part_end::Answered);
+    for (const tests::raw_response &item : tests::brokenResponses(content)) {
+        CAPTURE(item.name);
+        const part_result result = sendTo(item.bytes);
+        CHECK(result.end != part_end::Answered);
+        CHECK(result.mayHaveRun);
+    }
+}
--- /dev/null
+++ b/tests/raw_responses.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <mustardcourse/http/message.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mustardcourse::tests {
+
+/** The bytes of a response, and what is special in it. */
+struct raw_response
+{
+    std::string name;
+    std::string bytes;
+};
+
+/** The fields and the body that all responses of a table have. */
+struct response_content
+{
+    /** Header fields, each with its line end. */
+    std::string fields;
+    std::string body = "ab";
+
+    /** Returns the fields with the length of the body, and the body. */
+    [[nodiscard]] std::string withLength() const
+    {
+        std::string text = fields;
+        http::appendHeader(text, "Content-Length", std::to_string(body.size()));
+        return text.append("\r\n").append(body);
+    }
+};
+
+/** Returns responses whose status line is not one of HTTP/1, which must be rejected. */
+inline std::vector<raw_response> responsesWithInvalidStatusLine(const response_content &content)
+{
+    using namespace std::string_literals;
+    const std::string lines[] = {
+        "HTTP/1.1 000 Broken"s,
+        "HTTP/1.1 001 Broken"s,
+        "HTTP/1.1 099 Broken"s,
+        "HTTP/1.1 600 Broken"s,
+        "HTTP/1.1 999 Broken"s,
+        "HTTP/1.1 2 OK"s,
+        "HTTP/1.1 20 OK"s,
+        "HTTP/1.1 0200 OK"s,
+        "HTTP/1.1 2000 OK"s,
+        "HTTP/1.1  200 OK"s,
+        "HTTP/1.1\t200 OK"s,
+        "HTTP/1.1 20x OK"s,
+        "HTTP/1.1 +200 OK"s,
+        "HTTP/1.1 -200 OK"s,
+        "HTTP/1.1 200OK"s,
+        "HTTP/1.1 200\tOK"s,
+        "HTTP/1.1 20\xb2 OK"s,
+        "HTTP/1.1 "s,
+        "HTTP/1.1"s,
+        "HTTP/1.1 OK"s,
+        "HTTP/1.1 200 O\x01K"s,
+        "HTTP/1.1 200 O\0K"s,
+        "HTTP/1.1 200 O\x7fK"s,
+        "HTTP/1.1 200 O\rK"s,
+        "HTTP/1.1 200 OK\rA: b"s,
+        "HTTP/1.1 200 OK\r"s,
+        "HTTP/1.1 200\r OK"s,
+        "HTTP/0.9 200 OK"s,
+        "HTTP/2.0 200 OK"s,
+        "HTTP/3.1 200 OK"s,
+        "HTTP/1.10 200 OK"s,
+        "HTTP/01.1 200 OK"s,
+        "HTTP/1 200 OK"s,
+        "HTTP/11 200 OK"s,
+        "HTTP/1,1 200 OK"s,
+        "HTTP/1.1200 OK"s,
+        "HTTP /1.1 200 OK"s,
+        "HTTP 200 OK"s,
+        "http/1.1 200 OK"s,
+        "HXXX/1.1 200 OK"s,
+        "HTTP\x01"
+        "1.1 200 OK"s,
+        "ICY 200 OK"s,
+        "\x01HTTP/1.1 200 OK"s,
+        " HTTP/1.1 200 OK"s,
+        "\rHTTP/1.1 200 OK"s,
+        "200 OK"s,
+    };
+    std::vector<raw_response> responses;
+    for (const std::string &line : lines)
+        responses.push_back({line, line + "\r\n" + content.withLength()});
+    return responses;
+}
+
+/** Returns all responses that must be rejected. */
+inline std::vector<raw_response> brokenResponses(const response_content &content)
+{
+    return responsesWithInvalidStatusLine(content);
+}
+
+/** A response that must be accepted. */
+struct sound_response
+{
+    std::string name;
+    std::string bytes;
+    int status = 200;
+    std::string reason = "OK";
+    bool hasBody = true;
+};
+
+/** Returns unusual responses that the protocol allows, or that are as clear as those. */
+inline std::vector<sound_response> soundResponses(const response_content &content)
+{
+    const std::string rest = content.withLength();
+    std::vector<sound_response> responses{
+        {"empty reason", "HTTP/1.1 200 \r\n" + rest, 200, ""},
+        {"no reason and no blank", "HTTP/1.1 200\r\n" + rest, 200, ""},
+        {"reason of one character", "HTTP/1.1 200 !\r\n" + rest, 200, "!"},
+        {"reason of other characters", "HTTP/1.1 200 \xe9t\xc3\xa9 (\"#\")\t= 000\r\n" + rest, 200,
+         "\xe9t\xc3\xa9 (\"#\")\t= 000"},
+        {"version 1.0", "HTTP/1.0 200 OK\r\n" + rest},
+        {"higher minor version", "HTTP/1.2 200 OK\r\n" + rest},
+        {"line feeds only", "HTTP/1.1 200 OK\n" + rest},
+        {"empty lines before it", "\r\n\r\nHTTP/1.1 200 OK\r\n" + rest},
+        {"bytes over 127 in a value", "HTTP/1.1 200 OK\r\nX-Name: R\xc4\xabga\xff\r\n" + rest},
+        {"tab in a value", "HTTP/1.1 200 OK\r\nX-Name: a\tb\r\n" + rest},
+        {"empty value", "HTTP/1.1 200 OK\r\nX-Name:\r\n" + rest},
+        {"all characters of a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n" + rest},
+        {"interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + rest},
+        {"interim response with fields",
+         "HTTP/1.1 103 \r\nLink: </a>\r\nX-Name: \xff\r\n\r\nHTTP/1.1 200 OK\r\n" + rest},
+    };
+    for (int status = 200; status < 600; ++status) {
+        const std::string line = "HTTP/1.1 " + std::to_string(status) + " OK\r\n";
+        const bool hasBody = status != 204 && status != 304;
+        responses.push_back({"status " + std::to_string(status),
+                             line + (hasBody ? rest : content.fields + "\r\n"), status, "OK",
+                             hasBody});
+    }
+    return responses;
+}
+
+} // namespace mustardcourse::tests
--- a/tests/single_host_fixture.h
+++ b/tests/single_host_fixture.h
@@ -95,6 +95,43 @@
             json{{"ConfigVersion", version}, {"Routes", routes}, {"Services", {service}}}.dump());
     }
 
+    /** Writes a configuration with the routes "/idempotent/", "/once/" for requests that may run
+        once, and "/lookup/" for lookups in all shards. */
+    void writeRoutesOfAllTypes()
+    {
+        using nlohmann::json;
+        json routes = json::array();
+        const auto addRoute = [&](const std::string &name, const std::string &type) -> json & {
+            routes.push_back({{"Name", name},
+                              {"Host", "h"},
+                              {"PathPrefix", fmt::format("/{}/", name)},
+                              {"RouteType", type},
+                              {"TimeoutMs", 5000},
+                              {"TargetLatencyMs", 2000},
+                              {"Priority", 1},
+                              {"MaxAttempts", 2}});
+            return routes.back();
+        };
+        addRoute("idempotent", "idempotent")["Service"] = "s1";
+        addRoute("once", "non_idempotent")["Service"] = "s1";
+        json &lookup = addRoute("lookup", "idempotent");
+        lookup["FanoutServices"] = {"s1"};
+        lookup["ResultCount"] = 5;
+        lookup["MinShardShare"] = 1;
+        const json service{{"Name", "s1"}, {"HealthPath", "/health"}, {"MaxConnections", 20}};
+        store.put("op/config",
+                  json{{"ConfigVersion", 1}, {"Routes", routes}, {"Services", {service}}}.dump());
+    }
+
+    /** Sends requests until the host uses the target again, which it avoids after a failure. */
+    void awaitService()
+    {
+        runUntil([&] {
+            return request("GET /idempotent/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n\r\n")
+                .starts_with("HTTP/1.1 200");
+        });
+    }
+
     /** Returns the request of a caller, without a body. */
     static std::string callerRequest(std::string_view headers = "")
     {
--- a/tests/truncated_head_test.cpp
+++ b/tests/truncated_head_test.cpp
@@ -6,42 +6,11 @@
 using namespace std::chrono_literals;
 using tests::single_host_fixture;
 
-namespace {
-
-void writeRoutes(single_host_fixture &fixture)
-{
-    using nlohmann::json;
-    json routes = json::array();
-    const auto addRoute = [&](const std::string &name, const std::string &type) -> json & {
-        routes.push_back({{"Name", name},
-                          {"Host", "h"},
-                          {"PathPrefix", fmt::format("/{}/", name)},
-                          {"RouteType", type},
-                          {"TimeoutMs", 5000},
-                          {"TargetLatencyMs", 2000},
-                          {"Priority", 1},
-                          {"MaxAttempts", 2}});
-        return routes.back();
-    };
-    addRoute("idempotent", "idempotent")["Service"] = "s1";
-    addRoute("once", "non_idempotent")["Service"] = "s1";
-    json &lookup = addRoute("lookup", "idempotent");
-    lookup["FanoutServices"] = {"s1"};
-    lookup["ResultCount"] = 5;
-    lookup["MinShardShare"] = 1;
-    const json service{{"Name", "s1"}, {"HealthPath", "/health"}, {"MaxConnections", 20}};
-    fixture.store.put(
-        "op/config",
-        json{{"ConfigVersion", 1}, {"Routes", routes}, {"Services", {service}}}.dump());
-}
-
-} // namespace
-
 TEST_CASE("a target that closes in the middle of the head of its answer gives callers no success")
 {
     single_host_fixture f;
     f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
-    writeRoutes(f);
+    f.writeRoutesOfAllTypes();
     f.startHost(single_host_fixture::hostSettings());
     f.target.setFault(standins::target_fault::TruncatedHead);
     f.target.setWorkTime(0ms);
@@ -57,11 +26,7 @@
             CHECK(received.starts_with("HTTP/1.1 50"));
             // A failing target is avoided for a while.
             f.target.setFault(standins::target_fault::None);
-            f.runUntil([&] {
-                return f
-                    .request("GET /idempotent/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n\r\n")
-                    .starts_with("HTTP/1.1 200");
-            });
+            f.awaitService();
             f.target.setFault(standins::target_fault::TruncatedHead);
         }
     }
