Reject responses with a line that begins with a blank

Callers could see: a field whose name begins with a blank or a tab reached them as the end of the value of the field before it, as in "A: b X: z".

Cause: http_parser takes such a line as the continuation of the line before it. RFC 9112 (5.2) lets an intermediary either discard such a response or replace the line break by blanks; a target that sends it can mean either a continuation or a broken name, so it is discarded, as if it were lost.

As a first field, such a line was refused before.

--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -186,6 +186,7 @@
 {
     isHeaderComplete = true;
     isNewFieldNext = true;
+    syntax.endHeader();
     for (const header_field &field : headers) {
         if (isToken(field.name) && isFieldValue(field.value))
             continue;
--- a/modules/http/response_syntax.cpp
+++ b/modules/http/response_syntax.cpp
@@ -14,6 +14,11 @@
     return (value < ' ' && byte != '\t') || value == 0x7f;
 }
 
+bool isBlank(char byte)
+{
+    return byte == ' ' || byte == '\t';
+}
+
 bool isAllowedInStatusLine(char byte, std::size_t position)
 {
     if (position > statusLineFormat.size())
@@ -57,13 +62,19 @@
         return byte == '\n';
     if (byte == '\r' || byte == '\n')
         return mayEnd();
-    return !isControl(byte) && isAllowedInStatusLine(byte, m_position);
+    if (isControl(byte))
+        return false;
+    if (m_part == part::StatusLine)
+        return isAllowedInStatusLine(byte, m_position);
+    // A line that continues the one before it cannot be told from a name that begins with a blank.
+    // The parser examines the rest of a field line.
+    return m_position > 0 || !isBlank(byte);
 }
 
 bool response_syntax::mayEnd() const
 {
     // The blank before an empty reason is often left out.
-    return m_position == 0 || m_position >= statusLineFormat.size();
+    return m_part != part::StatusLine || m_position == 0 || m_position >= statusLineFormat.size();
 }
 
 void response_syntax::endLine()
@@ -71,7 +82,7 @@
     const std::size_t length = m_position - (m_previousByte == '\r' ? 1 : 0);
     // http_parser skips empty lines before the status line.
     if (length > 0)
-        m_part = part::Remainder;
+        m_part = part::FieldLine;
     m_position = 0;
     m_previousByte = '\0';
 }
--- a/modules/http/response_syntax.h
+++ b/modules/http/response_syntax.h
@@ -27,8 +27,11 @@
     */
     std::size_t nextPiece(std::string_view data);
 
+    /** Reports that the header has ended; what follows is not examined. */
+    void endHeader() noexcept { m_part = part::Remainder; }
+
 private:
-    enum class part { StatusLine, Remainder };
+    enum class part { StatusLine, FieldLine, Remainder };
 
     /** Returns whether the grammar allows a byte at this position of the line. */
     [[nodiscard]] bool isAllowed(char byte) const;
--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -76,6 +76,16 @@
     checkRejected(tests::responsesWithInvalidStatusLine({}));
 }
 
+TEST_CASE("a response with an invalid field line is rejected whole and byte by byte")
+{
+    checkRejected(tests::responsesWithInvalidField({}));
+}
+
+TEST_CASE("a response with a line that begins with a blank is rejected whole and byte by byte")
+{
+    checkRejected(tests::responsesWithFoldedLine({}));
+}
+
 TEST_CASE("a response that the protocol allows is accepted whole and byte by byte")
 {
     for (const tests::sound_response &item : tests::soundResponses({})) {
--- a/tests/broken_target_response_test.cpp
+++ b/tests/broken_target_response_test.cpp
@@ -70,6 +70,18 @@
     f.checkNotForwarded(tests::responsesWithInvalidStatusLine(f.targetContent()));
 }
 
+TEST_CASE("callers get no response of a target with an invalid field line")
+{
+    fixture f;
+    f.checkNotForwarded(tests::responsesWithInvalidField(f.targetContent()));
+}
+
+TEST_CASE("callers get no response of a target with a line that begins with a blank")
+{
+    fixture f;
+    f.checkNotForwarded(tests::responsesWithFoldedLine(f.targetContent()));
+}
+
 TEST_CASE("callers get the unusual responses of a target that the protocol allows")
 {
     constexpr int refusals[] = {408, 421, 429, 503};
--- a/tests/raw_responses.h
+++ b/tests/raw_responses.h
@@ -90,10 +90,56 @@
     return responses;
 }
 
+/** Returns the response to which a table adds its field lines. */
+inline std::string headWith(std::string_view fieldLine, const response_content &content)
+{
+    return std::string("HTTP/1.1 200 OK\r\n").append(fieldLine).append(content.withLength());
+}
+
+/** Returns responses with a field line that is not valid, in the header or in that of an interim
+    response before it. */
+inline std::vector<raw_response> responsesWithInvalidField(const response_content &content)
+{
+    using namespace std::string_literals;
+    const std::string lines[] = {
+        "X Y: z"s,   "X : z"s,     "X\tY: z"s,  "X\t: z"s,     "X\x01Y: z"s,
+        "X\x01: z"s, "X\0Y: z"s,   "X\x1b: z"s, "X\x7fY: z"s,  "X\xe9Y: z"s,
+        "X(Y: z"s,   "X@Y: z"s,    ": z"s,      "X"s,          "X: y\x01z"s,
+        "X: y\0z"s,  "X: y\x7fz"s, "X: y\rz"s,  "X: y\rA: b"s, "X\r: z"s,
+    };
+    std::vector<raw_response> responses;
+    for (const std::string &line : lines) {
+        responses.push_back({line, headWith(line + "\r\n", content)});
+        responses.push_back(
+            {line + " (interim)",
+             "HTTP/1.1 103 Early\r\nA: b\r\n" + line + "\r\n\r\n" + headWith("", content)});
+    }
+    return responses;
+}
+
+/** Returns responses with a line that begins with a blank, which continues the line before it or is
+    a name with a blank, in the header or in that of an interim response before it. */
+inline std::vector<raw_response> responsesWithFoldedLine(const response_content &content)
+{
+    std::vector<raw_response> responses;
+    for (const std::string line : {" X: z", "\tX: z", " z", "  ", " \t", " X : z"}) {
+        responses.push_back({"first:" + line, headWith(line + "\r\n", content)});
+        responses.push_back({"second:" + line, headWith("A: b\r\n" + line + "\r\n", content)});
+        responses.push_back(
+            {"interim:" + line,
+             "HTTP/1.1 103 Early\r\nA: b\r\n" + line + "\r\n\r\n" + headWith("", content)});
+    }
+    return responses;
+}
+
 /** Returns all responses that must be rejected. */
 inline std::vector<raw_response> brokenResponses(const response_content &content)
 {
-    return responsesWithInvalidStatusLine(content);
+    std::vector<raw_response> responses;
+    for (const auto &table : {responsesWithInvalidStatusLine(content),
+                              responsesWithInvalidField(content), responsesWithFoldedLine(content)})
+        responses.insert(responses.end(), table.begin(), table.end());
+    return responses;
 }
 
 /** A response that must be accepted. */
