Reject responses with invalid chunks or trailers

Callers could see: a body that was not that of the target. If the bytes after a chunk were not a line end, any two bytes were dropped in its place, and the bytes after a wrong size were taken for the next chunk.

Cause: http_parser skips whatever stands where a line end is due in a chunked body, all that follows a blank or a semicolon after the size of a chunk, and takes blanks in the names of trailers. Names in headers are examined when the header is complete; those of trailers were not, as trailers are discarded.

Change: response_syntax examines the lines between chunks and trailers too. It learns from the parser where the body begins and how long a chunk is, so that it needs no parser of its own for these.

Extensions of chunks, zeros before a size, and valid trailers stay accepted. Requests are read as before: the reader examines only responses this way.

--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -1,6 +1,7 @@
 #include <mustardcourse/http/reader.h>
 
 #include "response_syntax.h"
+#include "token.h"
 
 #include <http_parser.h>
 
@@ -15,15 +16,10 @@
 constexpr std::size_t maximumEncodingOverhead = 8;
 
 /** Returns whether a text is a token (RFC 9110, 5.6.2); http_parser accepts spaces in names. */
+/** Returns whether a text is a token; http_parser accepts spaces in names. */
 bool isToken(std::string_view text)
 {
-    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char character) {
-        const bool isLetter =
-            (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-        const bool isDigit = character >= '0' && character <= '9';
-        return isLetter || isDigit || punctuation.find(character) != std::string_view::npos;
-    });
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
 }
 
 /** Returns whether a text is a valid field value; a control character could end it early. */
@@ -186,7 +182,7 @@
 {
     isHeaderComplete = true;
     isNewFieldNext = true;
-    syntax.endHeader();
+    syntax.beginBody((parser.flags & F_CHUNKED) != 0);
     for (const header_field &field : headers) {
         if (isToken(field.name) && isFieldValue(field.value))
             continue;
@@ -255,6 +251,10 @@
         callbackTable.on_body = [](http_parser *source, const char *data, std::size_t size) {
             return of(source).appendBody({data, size});
         };
+        callbackTable.on_chunk_header = [](http_parser *source) {
+            of(source).syntax.beginChunk(source->content_length);
+            return 0;
+        };
         callbackTable.on_message_complete = [](http_parser *source) {
             return of(source).complete();
         };
--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -86,6 +86,11 @@
     checkRejected(tests::responsesWithFoldedLine({}));
 }
 
+TEST_CASE("a response with invalid chunks or trailers is rejected whole and byte by byte")
+{
+    checkRejected(tests::responsesWithInvalidChunks({}));
+}
+
 TEST_CASE("a response that the protocol allows is accepted whole and byte by byte")
 {
     for (const tests::sound_response &item : tests::soundResponses({})) {
--- a/tests/broken_target_response_test.cpp
+++ b/tests/broken_target_response_test.cpp
@@ -82,6 +82,12 @@
     f.checkNotForwarded(tests::responsesWithFoldedLine(f.targetContent()));
 }
 
+TEST_CASE("callers get no response of a target with invalid chunks or trailers")
+{
+    fixture f;
+    f.checkNotForwarded(tests::responsesWithInvalidChunks(f.targetContent()));
+}
+
 TEST_CASE("callers get the unusual responses of a target that the protocol allows")
 {
     constexpr int refusals[] = {408, 421, 429, 503};
--- a/tests/raw_responses.h
+++ b/tests/raw_responses.h
@@ -2,6 +2,8 @@
 
 #include <mustardcourse/http/message.h>
 
+#include <fmt/format.h>
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -132,12 +134,78 @@
     return responses;
 }
 
+/** Returns a response with a field of its transfer coding and an encoded body. */
+inline std::string withTransferCoding(std::string_view codingField, const std::string &encodedBody,
+                                      const response_content &content)
+{
+    return "HTTP/1.1 200 OK\r\n" + content.fields + std::string(codingField) + "\r\n\r\n"
+        + encodedBody;
+}
+
+/** Returns a body as one chunk, without the last one. */
+inline std::string chunkOf(const std::string &body)
+{
+    return fmt::format("{:x}\r\n{}\r\n", body.size(), body);
+}
+
+/** Returns responses whose chunks or trailers are not valid. */
+inline std::vector<raw_response> responsesWithInvalidChunks(const response_content &content)
+{
+    using namespace std::string_literals;
+    const std::string size = fmt::format("{:x}", content.body.size());
+    const std::string data = content.body + "\r\n";
+    const std::string last = "0\r\n\r\n";
+    const std::string bodies[] = {
+        size + "\r\n" + content.body + "xx" + last,
+        size + "\r\n" + content.body + "\rx" + last,
+        size + "\r\n" + content.body + "x\n" + last,
+        size + "\r\n" + content.body + "\n" + last,
+        size + "\r\n" + content.body + last,
+        size + "\r\n" + data + "\r\n" + last,
+        size + "\rx" + data + last,
+        size + "\n" + data + last,
+        size + " x\r\n" + data + last,
+        size + " " + size + "\r\n" + data + last,
+        size + "x\r\n" + data + last,
+        size + ",\r\n" + data + last,
+        "+" + size + "\r\n" + data + last,
+        "-" + size + "\r\n" + data + last,
+        " " + size + "\r\n" + data + last,
+        "0x" + size + "\r\n" + data + last,
+        ";\r\n" + data + last,
+        "\r\n" + data + last,
+        "10000000000000000" + size + "\r\n" + data + last,
+        size + ";a=\x01\r\n" + data + last,
+        size + ";a=\0\r\n"s + data + last,
+        size + ";a\nb\r\n" + data + last,
+        size + ";a\rb\r\n" + data + last,
+        size + "\r\n" + data + "0\rx\r\n",
+        size + "\r\n" + data + "0\r\n\rx",
+    };
+    std::vector<raw_response> responses;
+    for (const std::string &body : bodies)
+        responses.push_back(
+            {body, withTransferCoding("Transfer-Encoding: chunked", body, content)});
+    const std::string trailers[] = {
+        "X Y: z"s,  "X : z"s,   "X\tY: z"s, "X\x01Y: z"s, "X\0Y: z"s,    "X\xe9Y: z"s,
+        "X(Y: z"s,  ": z"s,     "X"s,       " X: z"s,     "A: b\r\n z"s, "X: y\x01z"s,
+        "X: y\0z"s, "X: y\rz"s, "X\r: z"s,  "\tX: z"s,
+    };
+    for (const std::string &trailer : trailers)
+        responses.push_back(
+            {"trailer: " + trailer,
+             withTransferCoding("Transfer-Encoding: chunked",
+                                chunkOf(content.body) + "0\r\n" + trailer + "\r\n\r\n", content)});
+    return responses;
+}
+
 /** Returns all responses that must be rejected. */
 inline std::vector<raw_response> brokenResponses(const response_content &content)
 {
     std::vector<raw_response> responses;
-    for (const auto &table : {responsesWithInvalidStatusLine(content),
-                              responsesWithInvalidField(content), responsesWithFoldedLine(content)})
+    for (const auto &table :
+         {responsesWithInvalidStatusLine(content), responsesWithInvalidField(content),
+          responsesWithFoldedLine(content), responsesWithInvalidChunks(content)})
         responses.insert(responses.end(), table.begin(), table.end());
     return responses;
 }
@@ -174,6 +242,25 @@
         {"interim response with fields",
          "HTTP/1.1 103 \r\nLink: </a>\r\nX-Name: \xff\r\n\r\nHTTP/1.1 200 OK\r\n" + rest},
     };
+    const std::string chunk = chunkOf(content.body);
+    const auto chunked = [&](std::string_view codingField, const std::string &body) {
+        return withTransferCoding(codingField, body, content);
+    };
+    const std::string size = fmt::format("{:X}", content.body.size());
+    const std::string halves = chunkOf(content.body.substr(0, 1)) + chunkOf(content.body.substr(1));
+    responses.insert(
+        responses.end(),
+        {{"chunks", chunked("Transfer-Encoding: chunked", halves + "0\r\n\r\n")},
+         {"letters of other cases", chunked("transfer-encoding:  CHUNKED ", chunk + "0\r\n\r\n")},
+         {"zeros before a size",
+          chunked("Transfer-Encoding: chunked",
+                  "00" + size + "\r\n" + content.body + "\r\n000\r\n\r\n")},
+         {"extensions",
+          chunked("Transfer-Encoding: chunked",
+                  size + ";a;b=\"c d\" ; e\r\n" + content.body + "\r\n0;\xff\r\n\r\n")},
+         {"trailers",
+          chunked("Transfer-Encoding: chunked",
+                  chunk + "0\r\nX-Name: R\xc4\xabga\r\nX-Empty:\r\n\r\n")}});
     for (int status = 200; status < 600; ++status) {
         const std::string line = "HTTP/1.1 " + std::to_string(status) + " OK\r\n";
         const bool hasBody = status != 204 && status != 304;
