Reject responses with a transfer coding other than chunked

Callers could see: a body that was encoded, for example by gzip, without the field that says so, or the lines of chunks as a part of the body.

Cause: http_parser decodes chunks if "chunked" is the last of several codings and leaves the others to its user, who has to look for them; and it takes what it doesn't know, such as "chunked,", for a body that ends with the connection. Hosts don't forward Transfer-Encoding, as it concerns a single connection, so nothing told callers of the coding.

A host never offers another coding, so a peer must not use one; version 1.0 has none (RFC 9112, 6.1), and such a message counts as faulty.

Change: a response is rejected unless its only coding is chunked, in one field of version 1.1.

--- a/include/mustardcourse/http/message.h
+++ b/include/mustardcourse/http/message.h
@@ -20,6 +20,9 @@
 /** Compares two ASCII texts case-insensitively, as header names are compared. */
 bool equalsIgnoreCase(std::string_view left, std::string_view right);
 
+/** Returns a text without the blanks and tabs around it. */
+std::string_view trim(std::string_view text);
+
 /** Returns the value of the first field with this name, if there is one. */
 std::optional<std::string_view> findHeader(const header_fields &fields, std::string_view name);
 
--- a/modules/http/message.cpp
+++ b/modules/http/message.cpp
@@ -14,14 +14,6 @@
                                                 : character;
 }
 
-std::string_view trim(std::string_view text)
-{
-    const auto first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /** Returns whether a comma-separated list contains a name. */
 bool listContains(std::string_view list, std::string_view name)
 {
@@ -43,6 +35,14 @@
                       [](char a, char b) { return toLower(a) == toLower(b); });
 }
 
+std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
 std::optional<std::string_view> findHeader(const header_fields &fields, std::string_view name)
 {
     for (const header_field &field : fields) {
--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -53,6 +53,8 @@
     bool updateMemory();
     /** Returns whether a body is encoded in far more bytes than it has. */
     [[nodiscard]] bool isEncodingTooLarge() const;
+    /** Returns whether the body of a response has no transfer coding but chunked. */
+    [[nodiscard]] bool isTransferCodingSupported() const;
     int appendFieldName(std::string_view part);
     int appendFieldValue(std::string_view part);
     int onHeadersComplete();
@@ -154,6 +156,20 @@
         && encodedBytes > 2 * limits.headerBytes + (1 + maximumEncodingOverhead) * limits.bodyBytes;
 }
 
+bool message_reader::implementation::isTransferCodingSupported() const
+{
+    const auto isCodingField = [](const header_field &field) {
+        return equalsIgnoreCase(field.name, "Transfer-Encoding");
+    };
+    const auto fieldCount = std::count_if(headers.begin(), headers.end(), isCodingField);
+    if (fieldCount == 0)
+        return true;
+    // Version 1.0 has no transfer codings (RFC 9112, 6.1).
+    const bool isVersionWithCodings = parser.http_minor > 0;
+    const auto coding = findHeader(headers, "Transfer-Encoding");
+    return fieldCount == 1 && isVersionWithCodings && equalsIgnoreCase(trim(*coding), "chunked");
+}
+
 int message_reader::implementation::appendFieldName(std::string_view part)
 {
     // The colon, a space and the line end of a field count as 4 bytes.
@@ -189,6 +205,10 @@
         state = read_state::Malformed;
         return -1;
     }
+    if (type == HTTP_RESPONSE && !isTransferCodingSupported()) {
+        state = read_state::Malformed;
+        return -1;
+    }
     const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
     if (hasLength && parser.content_length > limits.bodyBytes) {
         state = read_state::BodyTooLarge;
--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -91,6 +91,11 @@
     checkRejected(tests::responsesWithInvalidChunks({}));
 }
 
+TEST_CASE("a response with a transfer coding other than chunked is rejected whole and byte by byte")
+{
+    checkRejected(tests::responsesWithOtherTransferCoding({}));
+}
+
 TEST_CASE("a response that the protocol allows is accepted whole and byte by byte")
 {
     for (const tests::sound_response &item : tests::soundResponses({})) {
--- a/tests/broken_target_response_test.cpp
+++ b/tests/broken_target_response_test.cpp
@@ -88,6 +88,12 @@
     f.checkNotForwarded(tests::responsesWithInvalidChunks(f.targetContent()));
 }
 
+TEST_CASE("callers get no response of a target with a transfer coding other than chunked")
+{
+    fixture f;
+    f.checkNotForwarded(tests::responsesWithOtherTransferCoding(f.targetContent()));
+}
+
 TEST_CASE("callers get the unusual responses of a target that the protocol allows")
 {
     constexpr int refusals[] = {408, 421, 429, 503};
--- a/tests/raw_responses.h
+++ b/tests/raw_responses.h
@@ -199,13 +199,60 @@
     return responses;
 }
 
+/** Returns responses whose transfer coding is not "chunked", each with a body for each way in which
+    it could be taken. */
+inline std::vector<raw_response> responsesWithOtherTransferCoding(const response_content &content)
+{
+    const std::string fields[] = {
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: gzip,chunked",
+        "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: identity, chunked",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked;a=b",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: chunkedx",
+        "Transfer-Encoding: chunked x",
+        "Transfer-Encoding: \"chunked\"",
+        "Transfer-Encoding: chunked\xff",
+        "Transfer-Encoding:",
+        "Transfer-Encoding: ,",
+        "Transfer-Encoding: , chunked",
+        "Transfer-Encoding: chunked,",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding:",
+    };
+    std::vector<raw_response> responses;
+    for (const std::string &field : fields) {
+        const std::string length = fmt::format("\r\nContent-Length: {}", content.body.size());
+        responses.push_back(
+            {field, withTransferCoding(field, chunkOf(content.body) + "0\r\n\r\n", content)});
+        responses.push_back(
+            {field + " (no chunks)", withTransferCoding(field, content.body, content)});
+        responses.push_back(
+            {field + " (length)", withTransferCoding(field + length, content.body, content)});
+    }
+    // Version 1.0 has no transfer codings (RFC 9112, 6.1).
+    responses.push_back({"version 1.0",
+                         "HTTP/1.0 200 OK\r\n" + content.fields
+                             + "Transfer-Encoding: chunked\r\n\r\n" + chunkOf(content.body)
+                             + "0\r\n\r\n"});
+    return responses;
+}
+
 /** Returns all responses that must be rejected. */
 inline std::vector<raw_response> brokenResponses(const response_content &content)
 {
     std::vector<raw_response> responses;
     for (const auto &table :
          {responsesWithInvalidStatusLine(content), responsesWithInvalidField(content),
-          responsesWithFoldedLine(content), responsesWithInvalidChunks(content)})
+          responsesWithFoldedLine(content), responsesWithInvalidChunks(content),
+          responsesWithOtherTransferCoding(content)})
         responses.insert(responses.end(), table.begin(), table.end());
     return responses;
 }
