Read responses of the standalone deployment strictly too

What hosts of the standalone deployment took for an answer of a target, the store or the host list: almost any bytes that begin like one. A body could be cut or extended, as a length whose name has a blank was ignored, chunks were not decoded if the coding was written in capitals, and an interim response was taken for the final one, with the final one as its body.

Cause: libwebsockets' client computes the status from whatever follows the version, searches a header for the names that it knows, and skips the rest. It shows its user neither the names nor the status line, so the responses can't be examined beside it.

Change: libwebsockets opens the connection and transfers its bytes; http::message_reader reads the response, as on the platform. The code that worked around the library's reuse of connections is gone, as each object now keeps its own connection; the count of the library's watchers, which a test needs, moved to the tests.

Ruled out: a check of what the library shows. Names of fields are not shown.

Not measured: the processor time of an exchange of the standalone deployment.

--- a/include/mustardcourse/http/reader.h
+++ b/include/mustardcourse/http/reader.h
@@ -34,7 +34,8 @@
     An incremental parser of either HTTP/1.1 requests or responses.
 
     A message with both a Content-Length and a chunked encoding is malformed, to prevent request
-    smuggling.
+    smuggling. So is a response that the grammar of RFC 9112 does not allow, or whose transfer
+    coding is not just chunked.
 */
 class message_reader
 {
--- a/include/mustardcourse/wire/http_connection.h
+++ b/include/mustardcourse/wire/http_connection.h
@@ -56,9 +56,9 @@
 /**
     HTTP client for one address, with at most one TCP connection and one exchange at a time.
 
-    libwebsockets shares connections among the clients of a virtual host. Each object of this class
-    therefore has its own virtual host, so that the library can neither queue a request behind
-    another one nor move it to another connection.
+    libwebsockets opens the connection and transfers its bytes. Responses are read by
+    http::message_reader, as in the platform deployment, since the library's own client accepts
+    responses that are not valid HTTP.
 
     An exchange that fails or is cancelled closes the connection, so that a late response is never
     taken for the response to a later request.
--- a/modules/wire/event_loop.cpp
+++ b/modules/wire/event_loop.cpp
@@ -1,5 +1,3 @@
-#include "watcher_tracker.h"
-
 #include <mustardcourse/core/errors.h>
 #include <mustardcourse/wire/event_loop.h>
 
@@ -63,7 +61,6 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     lws_set_log_level(LLL_ERR, [](int, const char *) {});
-    watcher_tracker::install();
     lws_context_creation_info info{};
     void *foreignLoops[] = {&uv};
     info.port = CONTEXT_PORT_NO_LISTEN;
--- a/modules/wire/http_connection.cpp
+++ b/modules/wire/http_connection.cpp
@@ -1,22 +1,59 @@
 #include "virtual_host.h"
-#include "watcher_tracker.h"
 
+#include <mustardcourse/http/reader.h>
 #include <mustardcourse/wire/http_connection.h>
 
 #include <fmt/format.h>
 #include <libwebsockets.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
-#include <array>
 #include <cassert>
 #include <cstring>
+#include <optional>
 
 namespace mustardcourse::wire {
 
 namespace {
 
-constexpr std::size_t maximumResponseBytes = 4 * 1024 * 1024;
-constexpr std::uint16_t idleConnectionSeconds = 30;
-constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr http::message_limits responseLimits{std::size_t{16} * 1024, std::size_t{4} * 1024 * 1024};
+constexpr int idleConnectionSeconds = 30;
+/** Interim responses after which an exchange fails; a peer may send them without end. */
+constexpr std::size_t maximumInterimResponses = 16;
+constexpr int firstFinalStatus = 200;
+
+std::string formatRequest(const outgoing_request &request, const endpoint &peer)
+{
+    const bool hasBody = !request.body.empty();
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", hasBody ? "POST" : "GET", request.path);
+    http::appendHeader(text, "Host", peer.toString());
+    if (!request.authorization.empty())
+        http::appendHeader(text, "Authorization", request.authorization);
+    if (hasBody) {
+        http::appendHeader(text, "Content-Type", "application/json");
+        http::appendHeader(text, "Content-Length", std::to_string(request.body.size()));
+    }
+    return text.append("\r\n").append(request.body);
+}
+
+bool write(lws *wsi, std::string_view bytes)
+{
+    std::vector<unsigned char> buffer(LWS_PRE + bytes.size());
+    std::memcpy(buffer.data() + LWS_PRE, bytes.data(), bytes.size());
+    return lws_write(wsi, buffer.data() + LWS_PRE, bytes.size(), LWS_WRITE_RAW) >= 0;
+}
+
+/** Returns whether the peer has closed a connection in order. A reset may cut a response that ends
+    with its connection. */
+bool isClosedInOrder(lws *wsi)
+{
+    tcp_info information{};
+    socklen_t size = sizeof(information);
+    const int result =
+        ::getsockopt(lws_get_socket_fd(wsi), IPPROTO_TCP, TCP_INFO, &information, &size);
+    return result == 0 && information.tcpi_state == TCP_CLOSE_WAIT;
+}
 
 } // namespace
 
@@ -48,23 +85,24 @@
 
     static int onEvent(lws *wsi, lws_callback_reasons reason, void *user, void *in,
                        std::size_t length);
-    static bool requiresExchange(lws_callback_reasons reason);
-    static int readBody(lws *wsi);
-    [[nodiscard]] exchange_adapter *adapterOf(const lws *wsi) const noexcept;
-    int onExchangeEvent(exchange_adapter &adapter, lws *wsi, lws_callback_reasons reason,
-                        void *user, void *in, std::size_t length);
-    void onClosed(const lws *wsi);
+    int onConnectionEvent(lws_callback_reasons reason, void *user, void *in, std::size_t length);
+    /** Processes received bytes. Returns whether the connection stays open. */
+    bool onData(std::string_view data);
+    /** Processes a complete response. Returns whether the connection stays open. */
+    bool onResponse(bool hasMoreData);
+    /** @param isInOrder  whether the response is complete if nothing else shows its end */
+    void onClosed(bool isInOrder);
     void start(exchange_adapter &adapter);
+    void connect();
     void closeConnection();
 
     event_loop &loop;
     endpoint peer;
     exchange_adapter *activeExchange = nullptr;
-    lws *activeWsi = nullptr;
-    lws *idleWsi = nullptr;
-    /** The watcher of the open connection. @see watcher_tracker */
-    void *watcher = nullptr;
-    bool isStarting = false;
+    lws *connection = nullptr;
+    bool isConnected = false;
+    std::optional<http::message_reader> reader;
+    std::size_t interimResponses = 0;
     std::uint64_t dials = 0;
     /** Declared last, since libwebsockets invokes callbacks during its construction. */
     virtual_host vhost;
@@ -81,9 +119,9 @@
         , m_request(std::move(request))
     {
         assert(connection.activeExchange == nullptr);
-        if (!m_request.isReuseAllowed && connection.idleWsi != nullptr)
+        if (!m_request.isReuseAllowed)
             connection.closeConnection();
-        m_result.isConnectionReused = connection.idleWsi != nullptr;
+        m_result.isConnectionReused = connection.isConnected;
         connection.start(*this);
     }
 
@@ -97,10 +135,6 @@
 
     KJ_DISALLOW_COPY(exchange_adapter);
 
-    [[nodiscard]] const outgoing_request &request() const noexcept { return m_request; }
-
-    [[nodiscard]] bool isSent() const noexcept { return m_isSent; }
-
     void startTimer(kj::Timer &timer)
     {
         m_timeout = timer.afterDelay(toKj(m_request.timeout))
@@ -108,29 +142,34 @@
                         .eagerlyEvaluate([](const kj::Exception &) {});
     }
 
-    void onFailed(exchange_failure failure)
+    /** Sends the request, once. Returns false if the connection has failed. */
+    bool send(lws *connection)
     {
-        m_result.failure = failure;
-        m_result.outcome = m_isSent ? exchange_outcome::Lost : exchange_outcome::NotSent;
-        settle();
+        if (std::exchange(m_isSent, true))
+            return true;
+        return write(connection, formatRequest(m_request, m_connection.peer));
     }
 
-    int onAppendHeaders(lws *wsi, unsigned char **position, std::size_t availableBytes);
-    int onWriteable(lws *wsi);
-
-    void onResponseHeaders(lws *wsi);
+    /** Ends the exchange because its connection has failed. */
+    void onConnectionFailed()
+    {
+        onFailed(m_isSent ? exchange_failure::ConnectionClosed : exchange_failure::ConnectFailed);
+    }
 
-    bool onBodyData(const char *data, std::size_t length)
+    void onFailed(exchange_failure failure)
     {
-        if (m_result.response.body.size() + length > maximumResponseBytes)
-            return false;
-        m_result.response.body.append(data, length);
-        return true;
+        m_result.failure = failure;
+        m_result.outcome = m_isSent ? exchange_outcome::Lost : exchange_outcome::NotSent;
+        settle();
     }
 
-    void onCompleted()
+    void onAnswered(http::response &&answer)
     {
         m_result.outcome = exchange_outcome::Answered;
+        m_result.response.status = answer.status;
+        m_result.response.body = std::move(answer.body);
+        if (const auto retryAfter = http::findHeader(answer.headers, "Retry-After"))
+            m_result.response.headers.push_back({"retry-after", std::string(*retryAfter)});
         settle();
     }
 
@@ -155,58 +194,6 @@
     kj::Promise<void> m_timeout = nullptr;
 };
 
-int exchange_adapter::onAppendHeaders(lws *wsi, unsigned char **position,
-                                      std::size_t availableBytes)
-{
-    m_isSent = true;
-    unsigned char *const end = *position + availableBytes - 1;
-    if (!m_request.authorization.empty()
-        && lws_add_http_header_by_token(
-            wsi, WSI_TOKEN_HTTP_AUTHORIZATION,
-            reinterpret_cast<const unsigned char *>(m_request.authorization.data()),
-            static_cast<int>(m_request.authorization.size()), position, end))
-        return -1;
-    if (m_request.body.empty())
-        return 0;
-
-    static constexpr char jsonContentType[] = "application/json";
-    const std::string length = std::to_string(m_request.body.size());
-    if (lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-                                     reinterpret_cast<const unsigned char *>(length.data()),
-                                     static_cast<int>(length.size()), position, end))
-        return -1;
-    if (lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE,
-                                     reinterpret_cast<const unsigned char *>(jsonContentType),
-                                     sizeof(jsonContentType) - 1, position, end))
-        return -1;
-    lws_client_http_body_pending(wsi, 1);
-    lws_callback_on_writable(wsi);
-    return 0;
-}
-
-void exchange_adapter::onResponseHeaders(lws *wsi)
-{
-    constexpr int maximumValueBytes = 32;
-
-    m_result.response.status = static_cast<int>(lws_http_client_http_response(wsi));
-    std::array<char, maximumValueBytes> value{};
-    if (lws_hdr_copy(wsi, value.data(), maximumValueBytes, WSI_TOKEN_HTTP_RETRY_AFTER) > 0)
-        m_result.response.headers.push_back({"retry-after", value.data()});
-}
-
-int exchange_adapter::onWriteable(lws *wsi)
-{
-    if (m_request.body.empty())
-        return 0;
-    std::vector<unsigned char> buffer(LWS_PRE + m_request.body.size());
-    std::memcpy(buffer.data() + LWS_PRE, m_request.body.data(), m_request.body.size());
-    lws_client_http_body_pending(wsi, 0);
-    const int written =
-        lws_write(wsi, buffer.data() + LWS_PRE, m_request.body.size(), LWS_WRITE_HTTP_FINAL);
-    m_request.body.clear();
-    return written < 0 ? -1 : 0;
-}
-
 http_connection::implementation::implementation(event_loop &eventLoop, endpoint peerEndpoint)
     : loop(eventLoop)
     , peer(std::move(peerEndpoint))
@@ -221,143 +208,139 @@
 int http_connection::implementation::onEvent(lws *wsi, lws_callback_reasons reason, void *user,
                                              void *in, std::size_t length)
 {
-    if (reason == LWS_CALLBACK_WSI_DESTROY)
-        watcher_tracker::onDestroyed(wsi);
     auto *self = static_cast<implementation *>(virtual_host::ownerOf(wsi));
-    if (self == nullptr)
+    const bool isOwnConnection = self != nullptr && wsi != nullptr && self->connection == wsi;
+    if (!isOwnConnection)
         return lws_callback_http_dummy(wsi, reason, user, in, length);
-
-    // On a reused connection, callbacks run before lws_client_connect_via_info() returns the wsi of
-    // the new request.
-    if (self->isStarting && self->activeWsi == nullptr && wsi != self->idleWsi)
-        self->activeWsi = wsi;
-    if (reason == LWS_CALLBACK_WSI_DESTROY || reason == LWS_CALLBACK_CLOSED_CLIENT_HTTP) {
-        self->onClosed(wsi);
-        return 0;
-    }
-    exchange_adapter *const adapter = self->adapterOf(wsi);
-    if (adapter == nullptr)
-        return requiresExchange(reason) ? -1
-                                        : lws_callback_http_dummy(wsi, reason, user, in, length);
-    return self->onExchangeEvent(*adapter, wsi, reason, user, in, length);
-}
-
-exchange_adapter *http_connection::implementation::adapterOf(const lws *wsi) const noexcept
-{
-    return activeWsi == wsi ? activeExchange : nullptr;
+    return self->onConnectionEvent(reason, user, in, length);
 }
 
-bool http_connection::implementation::requiresExchange(lws_callback_reasons reason)
+int http_connection::implementation::onConnectionEvent(lws_callback_reasons reason, void *user,
+                                                       void *in, std::size_t length)
 {
     switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        return true;
+    case LWS_CALLBACK_RAW_CONNECTED:
+        isConnected = true;
+        lws_set_timeout(connection, NO_PENDING_TIMEOUT, 0);
+        lws_callback_on_writable(connection);
+        return 0;
+    case LWS_CALLBACK_RAW_WRITEABLE:
+        return activeExchange == nullptr || activeExchange->send(connection) ? 0 : -1;
+    case LWS_CALLBACK_RAW_RX:
+        return onData({static_cast<const char *>(in), length}) ? 0 : -1;
+    case LWS_CALLBACK_RAW_CLOSE:
+        onClosed(isClosedInOrder(connection));
+        return 0;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_WSI_DESTROY:
+        onClosed(false);
+        return 0;
     default:
-        return false;
+        return lws_callback_http_dummy(connection, reason, user, in, length);
     }
 }
 
-void http_connection::implementation::onClosed(const lws *wsi)
+bool http_connection::implementation::onData(std::string_view data)
 {
-    if (exchange_adapter *const adapter = adapterOf(wsi))
-        adapter->onFailed(exchange_failure::ConnectionClosed);
-    if (activeWsi == wsi)
-        activeWsi = nullptr;
-    if (idleWsi == wsi)
-        idleWsi = nullptr;
+    while (!data.empty()) {
+        // Data without a request belongs to no response.
+        if (activeExchange == nullptr)
+            return false;
+        data.remove_prefix(reader->feed(data));
+        switch (reader->state()) {
+        case http::read_state::Empty:
+        case http::read_state::Partial:
+            break;
+        case http::read_state::Complete:
+            if (!onResponse(!data.empty()))
+                return false;
+            break;
+        case http::read_state::Malformed:
+            activeExchange->onFailed(exchange_failure::ConnectionClosed);
+            return false;
+        case http::read_state::HeaderTooLarge:
+        case http::read_state::BodyTooLarge:
+            activeExchange->onFailed(exchange_failure::ResponseTooLarge);
+            return false;
+        }
+    }
+    return true;
 }
 
-int http_connection::implementation::onExchangeEvent(exchange_adapter &adapter, lws *wsi,
-                                                     lws_callback_reasons reason, void *user,
-                                                     void *in, std::size_t length)
+bool http_connection::implementation::onResponse(bool hasMoreData)
 {
-    switch (reason) {
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        // The library also reports this if the connection breaks before the response's headers.
-        adapter.onFailed(adapter.isSent() ? exchange_failure::ConnectionClosed
-                                          : exchange_failure::ConnectFailed);
-        return 0;
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        return adapter.onAppendHeaders(wsi, static_cast<unsigned char **>(in), length);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return adapter.onWriteable(wsi);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        adapter.onResponseHeaders(wsi);
-        return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return readBody(wsi);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        if (adapter.onBodyData(static_cast<const char *>(in), length))
-            return 0;
-        adapter.onFailed(exchange_failure::ResponseTooLarge);
-        return -1;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        activeWsi = nullptr;
-        idleWsi = wsi;
-        adapter.onCompleted();
-        return 0;
-    default:
-        return lws_callback_http_dummy(wsi, reason, user, in, length);
+    http::response answer = reader->takeResponse();
+    if (answer.status < firstFinalStatus) {
+        if (answer.isKeepAlive && ++interimResponses <= maximumInterimResponses)
+            return true;
+        activeExchange->onFailed(exchange_failure::ConnectionClosed);
+        return false;
     }
+    // A peer that responds before it has read the whole request may still read the rest.
+    const bool isReusable =
+        answer.isKeepAlive && !hasMoreData && lws_partial_buffered(connection) == 0;
+    activeExchange->onAnswered(std::move(answer));
+    if (isReusable)
+        lws_set_timeout(connection, PENDING_TIMEOUT_USER_OK, idleConnectionSeconds);
+    return isReusable;
 }
 
-int http_connection::implementation::readBody(lws *wsi)
+void http_connection::implementation::onClosed(bool isInOrder)
 {
-    std::array<char, LWS_PRE + readBufferBytes> buffer;
-    char *data = buffer.data() + LWS_PRE;
-    int size = static_cast<int>(readBufferBytes);
-    return lws_http_client_read(wsi, &data, &size) < 0 ? -1 : 0;
+    connection = nullptr;
+    isConnected = false;
+    if (activeExchange == nullptr)
+        return;
+    if (isInOrder)
+        reader->feedEndOfStream();
+    const bool hasAnswer = reader->state() == http::read_state::Complete;
+    if (hasAnswer)
+        activeExchange->onAnswered(reader->takeResponse());
+    else
+        activeExchange->onConnectionFailed();
 }
 
 void http_connection::implementation::start(exchange_adapter &adapter)
 {
     activeExchange = &adapter;
-    const outgoing_request &request = adapter.request();
-    if (idleWsi == nullptr)
-        ++dials;
+    interimResponses = 0;
+    adapter.startTimer(loop.timer());
+    if (isConnected) {
+        lws_set_timeout(connection, NO_PENDING_TIMEOUT, 0);
+        lws_callback_on_writable(connection);
+    } else {
+        connect();
+    }
+    loop.wake();
+}
 
+void http_connection::implementation::connect()
+{
+    ++dials;
+    reader.emplace(http::message_reader::direction::Responses, responseLimits);
     lws_client_connect_info info{};
     info.context = loop.lwsContext();
     info.vhost = vhost.handle();
     info.address = peer.address().c_str();
     info.port = peer.port();
-    info.path = request.path.c_str();
-    // The library finds a reusable connection by comparing its host with the new address.
     info.host = peer.address().c_str();
     info.origin = peer.address().c_str();
-    info.method = request.body.empty() ? "GET" : "POST";
-    info.ssl_connection = LCCSCF_PIPELINE;
-    info.keep_warm_secs = idleConnectionSeconds;
+    info.path = "/";
+    // The library leaves the bytes of such a connection to its owner.
+    info.method = "RAW";
     info.local_protocol_name = "http";
-    info.pwsi = &activeWsi;
-    adapter.startTimer(loop.timer());
-    watcher_tracker::takeLatest();
-    isStarting = true;
-    lws *newWsi = lws_client_connect_via_info(&info);
-    isStarting = false;
-    // A reused connection now belongs to the new request's wsi, with a new watcher.
-    if (idleWsi != nullptr)
-        watcher_tracker::closeAfter(idleWsi, watcher);
-    watcher = watcher_tracker::takeLatest();
-    idleWsi = nullptr;
-    if (newWsi == nullptr && activeExchange == &adapter)
-        adapter.onFailed(exchange_failure::ConnectFailed);
-    loop.wake();
+    info.pwsi = &connection;
+    if (lws_client_connect_via_info(&info) == nullptr && activeExchange != nullptr)
+        onClosed(false);
 }
 
 void http_connection::implementation::closeConnection()
 {
-    // Closes synchronously: until a deferred close, libwebsockets could queue the next request on
-    // this connection.
-    lws *const openWsi = activeWsi != nullptr ? activeWsi : idleWsi;
-    activeWsi = nullptr;
-    idleWsi = nullptr;
-    if (openWsi != nullptr)
-        lws_set_timeout(openWsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+    // Closes synchronously, so that a response cannot arrive after the end of its exchange.
+    lws *const openConnection = std::exchange(connection, nullptr);
+    isConnected = false;
+    if (openConnection != nullptr)
+        lws_set_timeout(openConnection, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
     loop.wake();
 }
 
@@ -381,7 +364,7 @@
 
 bool http_connection::isOpen() const noexcept
 {
-    return m_implementation->idleWsi != nullptr;
+    return m_implementation->isConnected && !isBusy();
 }
 
 std::uint64_t http_connection::dialCount() const noexcept
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,4 +1,4 @@
-#include "wire/watcher_tracker.h"
+#include "watcher_tracker.h"
 
 #include <mustardcourse/core/errors.h>
 #include <mustardcourse/wire/http_connection.h>
@@ -267,8 +267,10 @@
 
 TEST_CASE("a reused connection does not leak watchers")
 {
+    using tests::watcher_tracker;
     constexpr int requests = 200;
 
+    watcher_tracker::install();
     event_loop loop;
     echo_handler handler{.loop = loop};
     http_server<echo_handler> server(loop, serverAddress, handler);
