State which failure a response that is not valid is

The standalone client reports it like a connection that ended before the response, as it did for bytes that are no status line; callers of the client need no other distinction. Comment only.

--- a/include/mustardcourse/wire/http_connection.h
+++ b/include/mustardcourse/wire/http_connection.h
@@ -24,6 +24,8 @@
     ConnectFailed,
     ConnectTimedOut,
     ResponseTimedOut,
+    /** The peer ended the connection before a response was complete, or the connection was closed
+        because of a response that is not valid. */
     ConnectionClosed,
     ResponseTooLarge,
 };
