--- a/tests/watcher_tracker.h
+++ b/tests/watcher_tracker.h
@@ -41,8 +41,8 @@
             return nullptr;
         }
         void *const allocated = std::realloc(memory, size);
-        const bool isWatcher = memory == nullptr && reason != nullptr
-            && std::strcmp(reason, watcherAllocation) == 0;
+        const bool isWatcher =
+            memory == nullptr && reason != nullptr && std::strcmp(reason, watcherAllocation) == 0;
         if (isWatcher && allocated != nullptr)
             liveWatchers().insert(allocated);
         return allocated;
