Reject responses whose chunks would not be decoded

Callers could see: the lines of chunks as a part of the body, if a tab follows "chunked" in Transfer-Encoding. For bookings, lookups, parts of lookups, changes of the relay and what the store holds; and in the standalone deployment.

Cause: http_parser recognises "chunked" with blanks after it, but not with a tab, and then takes the body as one that ends with the connection.

Evidence: two forms of the field, each with three bodies, in the tables of other transfer codings; before this change 6 of 6 cases with these tables failed, whole and byte by byte. They pass now.

Change: a coding is supported only if the parser decodes it. Both look at the same flag, so no other spelling can pass one and not the other. Ruled out: setting the flag of the parser, which is its own state.

After: all 15 cases of broken and unusual responses and of the reader pass. Each status from 100 to 199 before the final response is in the table of what stays served; it passed before and passes.

--- a/modules/http/reader.cpp
+++ b/modules/http/reader.cpp
@@ -15,7 +15,6 @@
     one byte takes five. */
 constexpr std::size_t maximumEncodingOverhead = 8;
 
-/** Returns whether a text is a token (RFC 9110, 5.6.2); http_parser accepts spaces in names. */
 /** Returns whether a text is a token; http_parser accepts spaces in names. */
 bool isToken(std::string_view text)
 {
@@ -63,7 +62,7 @@
     bool updateMemory();
     /** Returns whether a body is encoded in far more bytes than it has. */
     [[nodiscard]] bool isEncodingTooLarge() const;
-    /** Returns whether the body of a response has no transfer coding but chunked. */
+    /** Returns whether the body of a response has no transfer coding that is not decoded. */
     [[nodiscard]] bool isTransferCodingSupported() const;
     /** Returns whether the message ends with its header. */
     [[nodiscard]] bool isBodiless() const;
@@ -178,8 +177,11 @@
         return true;
     // Version 1.0 has no transfer codings (RFC 9112, 6.1).
     const bool isVersionWithCodings = parser.http_minor > 0;
+    // http_parser does not decode the chunks if a tab follows the name of the coding.
+    const bool isDecoded = (parser.flags & F_CHUNKED) != 0;
     const auto coding = findHeader(headers, "Transfer-Encoding");
-    return fieldCount == 1 && isVersionWithCodings && equalsIgnoreCase(trim(*coding), "chunked");
+    return fieldCount == 1 && isVersionWithCodings && isDecoded
+        && equalsIgnoreCase(trim(*coding), "chunked");
 }
 
 bool message_reader::implementation::isBodiless() const
--- a/tests/raw_responses.h
+++ b/tests/raw_responses.h
@@ -199,8 +199,8 @@
     return responses;
 }
 
-/** Returns responses whose transfer coding is not "chunked", each with a body for each way in which
-    it could be taken. */
+/** Returns responses whose transfer coding is not "chunked", or not in a form that is decoded, each
+    with a body for each way in which it could be taken. */
 inline std::vector<raw_response> responsesWithOtherTransferCoding(const response_content &content)
 {
     const std::string fields[] = {
@@ -218,6 +218,8 @@
         "Transfer-Encoding: chunked x",
         "Transfer-Encoding: \"chunked\"",
         "Transfer-Encoding: chunked\xff",
+        "Transfer-Encoding: chunked\t",
+        "Transfer-Encoding: chunked \t ",
         "Transfer-Encoding:",
         "Transfer-Encoding: ,",
         "Transfer-Encoding: , chunked",
@@ -289,6 +291,11 @@
         {"interim response with fields",
          "HTTP/1.1 103 \r\nLink: </a>\r\nX-Name: \xff\r\n\r\nHTTP/1.1 200 OK\r\n" + rest},
     };
+    for (int status = 100; status < 200; ++status) {
+        const std::string line = "HTTP/1.1 " + std::to_string(status) + "\r\n\r\n";
+        responses.push_back(
+            {"interim response " + std::to_string(status), line + "HTTP/1.1 200 OK\r\n" + rest});
+    }
     const std::string chunk = chunkOf(content.body);
     const auto chunked = [&](std::string_view codingField, const std::string &body) {
         return withTransferCoding(codingField, body, content);
