Share the test for a digit

Field names and the lines of responses had one each. No change of behaviour: the 32 cases of broken and unusual responses, of the reader and others with such names pass.

--- a/modules/http/response_syntax.cpp
+++ b/modules/http/response_syntax.cpp
@@ -23,11 +23,6 @@
     return byte == ' ' || byte == '\t';
 }
 
-bool isDigit(char byte)
-{
-    return byte >= '0' && byte <= '9';
-}
-
 bool isHexDigit(char byte)
 {
     return isDigit(byte) || (byte >= 'a' && byte <= 'f') || (byte >= 'A' && byte <= 'F');
