Let the seed of a soak determine its faults

Cause: plan_faults set RANDOM in its own shell and drew numbers in a loop that is a part of a pipeline. Such a loop runs in a subshell, for which bash seeds the generator anew.

Change: the seed is set in the subshell of the loop. The plan is a file of its own, so that a test can call it. Checks and bounds of the soak are as before.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -10,6 +10,7 @@
 source scripts/fleet.sh
 source scripts/platform-fleet.sh
 source scripts/soak-checks.sh
+source scripts/soak-plan.sh
 
 first_seed=1
 last_seed=1
@@ -17,7 +18,6 @@
 # Faults are injected for so long.
 length_s=30
 shards=4
-stop_grace_ms=6000
 
 while [ $# -gt 0 ]; do
     case $1 in
@@ -37,48 +37,6 @@
 
 target_count=$((3 * shards))
 
-# plan_faults SEED: prints lines "MILLISECONDS EVENT ARGUMENT" in the order of time. Faults overlap.
-plan_faults() {
-    RANDOM=$1
-    local at=1000 version=1 host
-    while [ $at -lt $((length_s * 1000)) ]; do
-        host=$((RANDOM % host_count + 1))
-        case $((RANDOM % 9)) in
-        0)
-            echo "$at KILL $host"
-            echo "$((at + 200 + RANDOM % 2000)) start $host"
-            ;;
-        1 | 2)
-            echo "$at TERM $host"
-            echo "$((at + stop_grace_ms + 500)) start $host"
-            ;;
-        3 | 4)
-            echo "$at STOP $host"
-            echo "$((at + 100 + RANDOM % 3000)) CONT $host"
-            ;;
-        5)
-            echo "$at change unavailable"
-            echo "$((at + 200 + RANDOM % 3000)) change serving"
-            ;;
-        6)
-            echo "$at change copy"
-            echo "$((at + 200 + RANDOM % 1500)) change restore"
-            echo "$((at + 2200 + RANDOM % 1000)) change write-again"
-            ;;
-        7)
-            version=$((version + 1))
-            echo "$at change configuration/$version"
-            ;;
-        8)
-            host=$((RANDOM % target_count))
-            echo "$at change target/$host/pause/2"
-            echo "$((at + 500 + RANDOM % 2000)) change target/$host/pause"
-            ;;
-        esac
-        at=$((at + 100 + RANDOM % 1500))
-    done | sort -n -s -k 1,1
-}
-
 is_running() { kill -0 "${fleet_processes[platform-host-$1]}" 2> /dev/null; }
 
 # record EVENT HOST-OR-DASH
@@ -142,12 +100,12 @@
         echo "127.0.0.1:$(caller_port "$host")"
     done | paste -sd ,)
     start callers "$FLEET_BIN/standin_caller" --hosts="$addresses" --name="$seed" \
-        --length="$((length_s + (SOAK_RECOVERY_MS + stop_grace_ms) / 1000 + 6))s"
+        --length="$((length_s + (SOAK_RECOVERY_MS + SOAK_STOP_GRACE_MS) / 1000 + 6))s"
     began=$(now_ms)
     while read -r at event argument; do
         while [ $(($(now_ms) - began)) -lt "$at" ]; do sleep 0.02; done
         carry_out "$event" "$argument"
-    done <<< "$(plan_faults "$seed")"
+    done <<< "$(plan_faults "$seed" "$host_count" "$target_count" "$length_s")"
     for host in $(seq 1 "$host_count"); do
         eventually lists_members "$host" "$host_count"
         eventually is_ready "$host"
