Begin the planned stop of the test when its load has begun

Cause: the test stops the host 0.9 s after the start of the load tool, whose load of one second has to end before the host, which ends 0.2 s after that. So the load may begin at most 0.1 s late.

Change: the tool prints when it begins to send, and the test counts its 0.9 s from there. The length of the load, the grace period and all checks stay as they were.

--- a/standins/load_tool.cpp
+++ b/standins/load_tool.cpp
@@ -97,6 +97,8 @@
     const load_plan plan = planFromFlags();
     const host_counters countersBefore = readCounters(loop, plan.hosts);
     load_generator generator(loop, clock, plan);
+    fmt::print("sending requests\n");
+    std::fflush(stdout);
     const std::vector<load_sample> samples = loop.run(generator.run());
     const host_counters counterIncrease =
         difference(readCounters(loop, plan.hosts), countersBefore);
--- a/tests/process/planned_stop_test.sh
+++ b/tests/process/planned_stop_test.sh
@@ -17,6 +17,11 @@
 moved=$!
 load --hosts="$(caller_address 1),$(caller_address 3)" --length=4s > "$fleet_work/others.out" &
 others=$!
+# The load tool needs a while to start; a load that begins late would outlast the host.
+until grep -q '^sending requests' "$fleet_work/moved.out"; do
+    kill -0 "$moved" 2> /dev/null || { echo "the load tool ended before it sent requests"; exit 1; }
+    sleep 0.01
+done
 sleep 0.9
 status=0
 stop host-2 TERM || status=$?
