--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::int64_t drainMs = 3000;
+/** Mean work of `permit-history`. */
+constexpr std::int64_t workMs = 220;
+constexpr std::size_t bookersPerHost = 4;
 constexpr std::size_t hostCount = 3;
 constexpr std::size_t targetCount = 4;
 
@@ -53,7 +56,7 @@
     store platform;
     std::vector<std::unique_ptr<target>> targets;
     for (std::size_t i = 0; i < targetCount; ++i) {
-        targets.push_back(std::make_unique<target>("i-" + std::to_string(i), 60));
+        targets.push_back(std::make_unique<target>("i-" + std::to_string(i), workMs));
         platform.put("servers/" + targets[i]->instance(),
                      registration("portal", targets[i]->port(), "ready", 1));
     }
@@ -84,9 +87,12 @@
     std::mutex mutex;
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < hostCount; ++i) {
-        for (const bool isBooking : {false, true}) {
-            callers.emplace_back([&, i, isBooking] {
-                const std::string name = (isBooking ? "book" : "look") + std::to_string(i + 1);
+        for (std::size_t k = 0; k <= bookersPerHost; ++k) {
+            callers.emplace_back([&, i, k] {
+                sleepMs(static_cast<std::int64_t>(17 * (i * (bookersPerHost + 1) + k)));
+                const bool isBooking = k > 0;
+                const std::string name =
+                    (isBooking ? "book" : "look") + std::to_string(i + 1) + "." + std::to_string(k);
                 call(hosts[i], name, isBooking, sent, mutex, until);
             });
         }
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -28,6 +28,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -248,11 +249,21 @@
 
     std::uint16_t port() const { return m_port; }
 
+    /** Stops listening, so that connection attempts are refused. */
+    void stopListening()
+    {
+        m_isClosed = true;
+        ::shutdown(m_listening, SHUT_RDWR);
+        ::close(m_listening);
+    }
+
 private:
     void acceptAll()
     {
         for (;;) {
             const int descriptor = ::accept4(m_listening, nullptr, nullptr, SOCK_CLOEXEC);
+            if (descriptor < 0 && m_isClosed)
+                return;
             if (descriptor < 0)
                 continue;
             const int on = 1;
@@ -265,6 +276,7 @@
     }
 
     handler m_serve;
+    std::atomic<bool> m_isClosed{false};
     int m_listening = -1;
     std::uint16_t m_port = 0;
 };
@@ -597,11 +609,12 @@
         return m_arrivals;
     }
 
-    /** Ends: closes all connections, and those that follow at once. */
+    /** Ends: stops listening and closes all connections. */
     void exit()
     {
         const std::lock_guard lock(m_mutex);
         m_hasEnded = true;
+        m_server.stopListening();
         for (const int descriptor : m_descriptors)
             ::shutdown(descriptor, SHUT_RDWR);
     }
@@ -707,16 +720,20 @@
     pid_t m_id = -1;
 };
 
-/** Returns a port that is free now. */
+/** Returns a port that is free now, below those that the kernel gives to outgoing connections. */
 inline std::uint16_t freePort()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    ::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
+    static std::mt19937 random{std::random_device{}()};
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(15'000 + random() % 15'000);
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        const bool isFree =
+            ::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+        ::close(descriptor);
+        if (isFree)
+            return port;
+    }
 }
 
 /** The settings of a host, as the deploy file's template gives them on a small deployment. */
