--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,4 +1,4 @@
-// Targets break off a few of their answers without a length with a reset.
+// Half of the targets break off a few of their answers, sent without a length, with a reset.
 
 #include "../rig-2/rig.h"
 
@@ -10,7 +10,7 @@
 constexpr std::size_t callerCount = 4;
 constexpr std::size_t requestsPerCaller = 500;
 constexpr std::size_t bodyBytes = 3000;
-/** One in this number of answers is broken off: the 5 in 100 of the site's days. */
+/** One in this number of answers of two targets is broken off: x 0.05, share 0.5. */
 constexpr std::size_t brokenInterval = 20;
 
 struct answer_record
@@ -59,7 +59,7 @@
     signal(SIGPIPE, SIG_IGN);
 
     std::mutex mutex;
-    std::size_t answerCount = 0;
+    std::map<std::string, std::size_t> answerCounts; // by target
     std::map<std::string, bool> brokenOff; // by id
     const auto serve = [&](const std::string &instance, connection &host) {
         while (const auto received = readMessage(host, 60'000)) {
@@ -72,17 +72,21 @@
             bool isBroken = false;
             {
                 const std::lock_guard lock(mutex);
-                isBroken = trouble && ++answerCount % brokenInterval == 0;
+                const bool mayBreak = trouble && (instance == "i-0" || instance == "i-1");
+                isBroken = ++answerCounts[instance] % brokenInterval == 0 && mayBreak;
                 brokenOff[id] = isBroken;
             }
             sleepMs(5);
             const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
-                + "\r\nX-Server-Stamp: " + instance + "." + id + "\r\nConnection: close\r\n\r\n";
+                + "\r\nX-Server-Stamp: " + instance + "." + id + "\r\n";
             const std::string body(bodyBytes, 'b');
-            host.write(head + body.substr(0, isBroken ? bodyBytes / 2 : bodyBytes));
-            if (isBroken)
-                host.reset();
-            return;
+            if (isBroken) {
+                host.write(head + "Connection: close\r\n\r\n" + body.substr(0, bodyBytes / 2));
+                return host.reset();
+            }
+            if (!host.write(head + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+                            + body))
+                return;
         }
     };
     store platform;
