--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -11,7 +11,7 @@
 constexpr std::int64_t workMs = 220;
 constexpr std::size_t bookersPerHost = 4;
 constexpr std::size_t hostCount = 3;
-constexpr std::size_t targetCount = 4;
+constexpr std::size_t targetCount = 7;
 
 struct sent_request
 {
