Do not take a failed call for an outage of the store

Cause: any failed call of the mirror or of the membership counted as an outage, which lasted until the next watch was answered; a removed key then counted as expired in it, and each further failure restarted the grace period of all missing keys. Evidence: the log of a host has key-lapsed with the removal, store-lost 1.2 s later, store-regained at 2.5 s and target-gone at 4.8 s. Ruled out: the removal is read late; it is applied, but requests wait.

Change: an outage may have occurred if a call failed and none was answered for a second; keys that disappear then are kept for the grace period, which is set once for each. Only if calls fail for a second without an answer is the store unavailable, which keeps missing keys and restarts their grace period at its end. So that a store which serves is told from one that does not, the watch after a failed one returns at once, from the store itself.

On related paths: calls about the lease, the report of a relay and listings share the tracker; a relay's report postpones nothing beyond the grace period. Keys that go missing one after the other no longer share one end.

--- a/include/mustardcourse/store/relayed_store.h
+++ b/include/mustardcourse/store/relayed_store.h
@@ -18,6 +18,8 @@
         Together with the mirror's pause between watches it bounds the response time of a healthy
         relay. */
     duration relayWatchDuration = std::chrono::milliseconds(1200);
+    /** Watches with a shorter wait go to the store itself. */
+    duration shortestRelayedWait = std::chrono::milliseconds(100);
     /** Time-out of a request to the relay. If the relay is unresponsive, a change takes effect
         within this time and one call to the store; the platform allows 3 s. */
     duration relayTimeout = std::chrono::milliseconds(2000);
@@ -115,7 +117,9 @@
 void relayed_store<Store>::watch(std::string_view prefix, const store_position &since,
                                  duration wait, batch_handler handler)
 {
-    const endpoint *relay = usableRelay();
+    // A short wait asks whether the store serves, which only the store itself can tell.
+    const bool isCheck = wait < m_settings.shortestRelayedWait;
+    const endpoint *relay = isCheck ? nullptr : usableRelay();
     if (relay == nullptr)
         return watchDirectly(std::string(prefix), since, wait, std::move(handler));
     const bool isPoolForRelay = m_pool && m_pool->peer() == *relay;
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -2,6 +2,7 @@
 
 #include <mustardcourse/core/log.h>
 #include <mustardcourse/net/loop.h>
+#include <mustardcourse/store/outage_tracker.h>
 #include <mustardcourse/store/store_port.h>
 
 #include <algorithm>
@@ -64,10 +65,15 @@
     /** Owners of keys that expire during an outage of the store write them again within this time
         after it recovers; until then the keys count as present. */
     duration expiryGracePeriod = std::chrono::milliseconds(2300);
+    /** A key expires after its owner has failed to write it several times, which it does each 1.2
+       s; so none expires in a shorter outage. */
+    duration minimumOutage = std::chrono::seconds(1);
     /** How long one watch waits for a change. A watch that the store took and lost in the last
         moment of an outage is only detected at its end, and by then a host that counts as
         undisturbed, 4 s after the outage, has to follow what was confirmed early on. */
     duration watchDuration = std::chrono::milliseconds(2700);
+    /** Wait of the watch after one that failed, which shows whether the store serves. */
+    duration checkDuration = std::chrono::milliseconds(1);
     /** Pause after changes, so that one response of the next watch covers several of them: the
         store meters every call, and changes come in bursts. */
     duration watchPause = std::chrono::milliseconds(500);
@@ -89,7 +95,8 @@
 
     Mirrored values stay valid while the store is unreachable. Within an era of the store, a value
     is never replaced by one of an older revision. Keys that disappear around an outage or a restore
-    are reported as removed only after their owners had time to write them again.
+    are reported as removed only after their owners had time to write them again. A call that fails
+    while the store serves does not prolong this time. @see outage_tracker
 */
 template <watchable_store Store>
 class store_mirror
@@ -101,8 +108,8 @@
     /** Starts the first listing; call once. */
     void start() { list(0, ""); }
 
-    /** Records that a call to the store failed, so that keys may expire although their owners are
-        alive. */
+    /** Records that another call of this host to the store has failed, so that keys may expire
+        although their owners are alive. */
     void recordStoreFailure();
 
     /** Lists the keys again if they are of another era of the store. Another call may learn of a
@@ -134,6 +141,10 @@
     void handleMissing(const std::string &key);
     void retry(store_failure failure, std::string_view call);
     void recordStoreResponse();
+    void reportPossibleOutage();
+    /** Gives the owners of all missing keys the whole time to write them again. */
+    void restartGracePeriod();
+    void startGraceTimer();
     void removeMissingKeys();
 
     net::loop &m_loop;
@@ -143,8 +154,10 @@
     mirror_listener &m_listener;
     mirror_settings m_settings;
     std::map<std::string, store_position> m_positions;
-    /** Keys that disappeared around an outage, with the end of their grace period. */
+    /** Keys that disappeared around an outage, and when they are removed. */
     std::map<std::string, time_point> m_missingKeys;
+    /** Until when a key that disappears may have expired in an outage. */
+    time_point m_graceEnd;
     std::set<std::string> m_listedKeys;
     mirror_progress m_progress;
     /** The position of the first page of the present listing. */
@@ -155,8 +168,9 @@
     bool m_wasHistoryCompacted = false;
     bool m_isComplete = false;
     bool m_isListingNeeded = true;
-    bool m_isStoreUnreachable = false;
-    time_point m_unreachableUntil;
+    outage_tracker m_outages;
+    /** Whether a possible outage was logged, and not its end. */
+    bool m_isOutageReported = false;
     duration m_nextRetryDelay;
     net::timer m_callTimer;
     net::timer m_graceTimer;
@@ -171,7 +185,8 @@
     , m_store(store)
     , m_listener(listener)
     , m_settings(std::move(settings))
-    , m_unreachableUntil(clock.now() - m_settings.expiryGracePeriod)
+    , m_graceEnd(clock.now())
+    , m_outages(m_settings.minimumOutage, clock.now())
     , m_nextRetryDelay(m_settings.initialRetryDelay)
     , m_callTimer(loop,
                   [this] {
@@ -186,27 +201,42 @@
 template <watchable_store Store>
 void store_mirror<Store>::recordStoreFailure()
 {
-    if (!m_isStoreUnreachable)
-        m_log.warning("store-lost", {{"revision", m_progress.position.number().value()}});
-    m_isStoreUnreachable = true;
-    m_unreachableUntil = m_clock.now();
+    m_outages.recordOtherFailure();
+    reportPossibleOutage();
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::reportPossibleOutage()
+{
+    if (m_isOutageReported || !m_outages.isPossible(m_clock.now()))
+        return;
+    m_isOutageReported = true;
+    m_log.warning("store-lost", {{"revision", m_progress.position.number().value()}});
 }
 
 template <watchable_store Store>
 void store_mirror<Store>::recordStoreResponse()
 {
+    const time_point now = m_clock.now();
+    const duration silence = m_outages.silence(now);
+    if (m_outages.isPossible(now))
+        m_graceEnd = now + m_settings.expiryGracePeriod;
+    if (m_outages.isCertain(now))
+        restartGracePeriod();
+    m_outages.recordResponse(now);
     m_nextRetryDelay = m_settings.initialRetryDelay;
-    if (!m_isStoreUnreachable)
-        return;
-    m_isStoreUnreachable = false;
-    m_unreachableUntil = m_clock.now();
-    m_log.info("store-regained", {{"revision", m_progress.position.number().value()}});
+    if (std::exchange(m_isOutageReported, false))
+        m_log.info(
+            "store-regained",
+            {{"revision", m_progress.position.number().value()},
+             {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(silence).count()}});
 }
 
 template <watchable_store Store>
 void store_mirror<Store>::retry(store_failure failure, std::string_view call)
 {
-    recordStoreFailure();
+    m_outages.recordFailure(m_clock.now());
+    reportPossibleOutage();
     m_log.writeRateLimited("store-call-failed", {{"call", call}, {"failure", nameOf(failure)}});
     m_callTimer.start(m_nextRetryDelay);
     // Nothing can be served before the first listing completes, so it is retried without backoff.
@@ -284,7 +314,9 @@
 void store_mirror<Store>::watch()
 {
     const std::uint64_t number = ++m_watchNumber;
-    m_store.watch(m_settings.watchedPrefix, m_progress.position, m_settings.watchDuration,
+    const duration wait =
+        m_outages.isFailing() ? m_settings.checkDuration : m_settings.watchDuration;
+    m_store.watch(m_settings.watchedPrefix, m_progress.position, wait,
                   [this, number](store_batch &&changes) {
                       if (number == m_watchNumber)
                           onChanges(std::move(changes));
@@ -381,7 +413,8 @@
                    {"known_revision", m_progress.position.number().value()}});
     ++m_progress.restores;
     // What was written since the copy is lost, and its owners write it again, as after an outage.
-    m_unreachableUntil = m_clock.now();
+    m_graceEnd = m_clock.now() + m_settings.expiryGracePeriod;
+    restartGracePeriod();
     const store_position beginning(current.era(), revision());
     for (auto &[key, position] : m_positions)
         position = beginning;
@@ -433,33 +466,63 @@
         m_log.writeRateLimited("store-removal-unknown", {{"key", key}});
         return;
     }
-    const time_point graceEnd = m_unreachableUntil + m_settings.expiryGracePeriod;
-    if (!m_isStoreUnreachable && m_clock.now() >= graceEnd) {
+    if (m_missingKeys.contains(key))
+        return;
+    const time_point now = m_clock.now();
+    // Another call may tell of the removal while the calls of the mirror fail.
+    const time_point graceEnd =
+        m_outages.isPossible(now) ? now + m_settings.expiryGracePeriod : m_graceEnd;
+    if (now >= graceEnd) {
         m_positions.erase(key);
         m_listener.onKeyRemoved(key);
         return;
     }
-    if (!m_missingKeys.emplace(key, graceEnd).second)
-        return;
     m_log.info("key-lapsed", {{"key", key}});
-    m_graceTimer.start(graceEnd - m_clock.now());
+    m_missingKeys.emplace(key, graceEnd);
+    startGraceTimer();
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::restartGracePeriod()
+{
+    const time_point graceEnd = m_clock.now() + m_settings.expiryGracePeriod;
+    for (auto &[key, removalTime] : m_missingKeys)
+        removalTime = graceEnd;
+    startGraceTimer();
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::startGraceTimer()
+{
+    if (m_missingKeys.empty())
+        return;
+    const auto next =
+        std::min_element(m_missingKeys.begin(), m_missingKeys.end(),
+                         [](const auto &a, const auto &b) { return a.second < b.second; });
+    m_graceTimer.start(std::max(next->second - m_clock.now(), duration::zero()));
 }
 
 template <watchable_store Store>
 void store_mirror<Store>::removeMissingKeys()
 {
-    const time_point graceEnd = m_unreachableUntil + m_settings.expiryGracePeriod;
-    if (m_isStoreUnreachable || m_clock.now() < graceEnd) {
-        m_graceTimer.start(m_isStoreUnreachable ? m_settings.expiryGracePeriod
-                                                : graceEnd - m_clock.now());
+    const time_point now = m_clock.now();
+    // The keys are kept for as long as an outage lasts, and its end restarts their grace period.
+    if (m_outages.isCertain(now)) {
+        m_graceTimer.start(m_settings.expiryGracePeriod);
         return;
     }
-    const auto missing = std::exchange(m_missingKeys, {});
-    for (const auto &[key, until] : missing) {
+    std::vector<std::string> removedKeys;
+    for (const auto &[key, removalTime] : m_missingKeys) {
+        if (removalTime <= now)
+            removedKeys.push_back(key);
+    }
+    for (const std::string &key : removedKeys) {
+        m_missingKeys.erase(key);
         m_positions.erase(key);
         m_listener.onKeyRemoved(key);
     }
     m_listener.onBatchApplied();
+    startGraceTimer();
 }
 
 } // namespace mustardcourse::store
--- a/standins/lib/platform_store.cpp
+++ b/standins/lib/platform_store.cpp
@@ -111,6 +111,11 @@
         answerWatches();
 }
 
+void platform_store::cutWatches()
+{
+    m_watches.clear();
+}
+
 void platform_store::compactHistory()
 {
     m_changes.clear();
@@ -200,6 +205,9 @@
         m_unanswered.push_back(std::move(exchange));
         return;
     }
+    // Without a response, the connection closes with the exchange.
+    if (!m_closedPathPrefix.empty() && path.starts_with(m_closedPathPrefix))
+        return;
     if (path == "/kv-range")
         return serveRange(*exchange);
     if (path == "/kv-watch")
--- a/standins/lib/platform_store.h
+++ b/standins/lib/platform_store.h
@@ -78,6 +78,13 @@
         m_lostCallRepeatedAt.reset();
     }
 
+    /** Closes the connections of all watches that wait, without a response. */
+    void cutWatches();
+
+    /** Makes the store close the connection of each call of a path that begins like this, without
+        a response and without effect; of none if it is empty. */
+    void closeCalls(std::string pathPrefix) { m_closedPathPrefix = std::move(pathPrefix); }
+
     /** Returns the time from the call that was lost to the next one of its path; nothing if there
         was none yet. */
     [[nodiscard]] std::optional<duration> timeUntilLostCallWasRepeated() const;
@@ -165,6 +172,7 @@
     content m_copy;
     std::uint64_t m_callCount = 0;
     std::string m_lostPathPrefix;
+    std::string m_closedPathPrefix;
     std::optional<time_point> m_callLostAt;
     std::optional<time_point> m_lostCallRepeatedAt;
     std::size_t m_pageSize = 50;
--- a/tests/change_relay_test.cpp
+++ b/tests/change_relay_test.cpp
@@ -397,6 +397,15 @@
     CHECK(f.directStore.watches.empty());
 }
 
+TEST_CASE("a watch that asks whether the store serves is not answered by a relay")
+{
+    fixture f;
+    f.relayedStore.setRelays({endpoint("127.0.0.1", relayPort)});
+    f.relay.onWatchResult(at(10), batch({item("a", 11)}, 11));
+    f.relayedStore.watch("", at(10), 1ms, [&](store_batch &&) {});
+    CHECK(f.directStore.watches.size() == 1);
+}
+
 TEST_CASE("a relay sends no more than its share of the link and is used again afterwards")
 {
     constexpr std::size_t changeSize = 100'000;
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -22,8 +22,9 @@
     {
         lists.emplace_back(std::string(prefix), std::move(handler));
     }
-    void watch(std::string_view, const store_position &since, duration, batch_handler handler)
+    void watch(std::string_view, const store_position &since, duration wait, batch_handler handler)
     {
+        latestWait = wait;
         watches.emplace_back(since, std::move(handler));
     }
 
@@ -48,6 +49,7 @@
 
     std::deque<std::pair<std::string, batch_handler>> lists;
     std::deque<std::pair<store_position, batch_handler>> watches;
+    duration latestWait{0};
 };
 
 struct recording_listener final : mirror_listener
@@ -93,6 +95,7 @@
                                         {.prefixes = {"t/"},
                                          .watchedPrefix = "",
                                          .expiryGracePeriod = 120ms,
+                                         .minimumOutage = 50ms,
                                          .watchDuration = 1s,
                                          .watchPause = 1ms,
                                          .initialRetryDelay = 5ms,
@@ -166,6 +169,104 @@
     }
 }
 
+TEST_CASE("a watch that is cut right after a response does not delay a removal")
+{
+    fixture f;
+    f.runFor(130ms);
+    f.store.answerWatch(store_failure::None, {}, 10);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    f.store.answerWatch(store_failure::Unanswered, {}, 0);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    f.store.answerWatch(store_failure::None, {deletion("t/a", 11)}, 11);
+    CHECK_FALSE(f.listener.values.contains("t/a"));
+}
+
+TEST_CASE("calls that fail while the store serves do not postpone the removal of a missing key")
+{
+    struct row
+    {
+        std::string name;
+        /** Called each 30 ms, while a watch waits. */
+        void (*fail)(fixture &);
+    };
+    const row rows[] = {
+        {"a watch is cut",
+         [](fixture &f) { f.store.answerWatch(store_failure::Unanswered, {}, 0); }},
+        {"another call fails", [](fixture &f) { f.mirror.recordStoreFailure(); }},
+    };
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        fixture f;
+        f.runFor(130ms);
+        testCase.fail(f);
+        f.runUntil([&] { return !f.store.watches.empty(); });
+        f.store.answerWatch(store_failure::None, {deletion("t/a", 11)}, 11);
+        const time_point learnedAt = f.time.now();
+        CHECK(f.listener.values.contains("t/a"));
+        while (f.listener.values.contains("t/a") && f.time.now() < learnedAt + 1s) {
+            f.runUntil([&] { return !f.store.watches.empty(); });
+            f.runFor(30ms);
+            testCase.fail(f);
+            f.runUntil([&] { return !f.store.watches.empty(); });
+            f.store.answerWatch(store_failure::None, {}, 11);
+        }
+        CHECK_FALSE(f.listener.values.contains("t/a"));
+        // The grace period of the fixture is 120 ms.
+        CHECK(f.time.now() - learnedAt <= 200ms);
+    }
+}
+
+TEST_CASE("a key that is missing when an outage begins is kept until its owner could write it")
+{
+    fixture f;
+    f.runFor(130ms);
+    f.store.answerWatch(store_failure::Unanswered, {}, 0);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    f.store.answerWatch(store_failure::None, {deletion("t/a", 11), deletion("t/b", 12)}, 12);
+    const time_point outageEnd = f.time.now() + 300ms;
+    while (f.time.now() < outageEnd) {
+        f.runUntil([&] { return !f.store.watches.empty(); });
+        f.store.answerWatch(store_failure::Unanswered, {}, 0);
+    }
+    CHECK(f.listener.values.size() == 2);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    f.store.answerWatch(store_failure::None, {}, 12);
+    f.runFor(80ms);
+    CHECK(f.listener.values.size() == 2);
+    f.store.answerWatch(store_failure::None, {item("t/b", "2", 13)}, 13);
+    f.runFor(80ms);
+    CHECK(f.listener.values == std::map<std::string, std::string>{{"t/b", "2"}});
+}
+
+TEST_CASE("keys that go missing one after the other are each removed in time")
+{
+    fixture f;
+    f.runFor(130ms);
+    f.store.answerWatch(store_failure::Unanswered, {}, 0);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    f.store.answerWatch(store_failure::None, {deletion("t/a", 11)}, 11);
+    f.runFor(80ms);
+    f.store.answerWatch(store_failure::Unanswered, {}, 0);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    f.store.answerWatch(store_failure::None, {deletion("t/b", 12)}, 12);
+    f.runFor(60ms);
+    CHECK(f.listener.values == std::map<std::string, std::string>{{"t/b", "1"}});
+    f.runFor(80ms);
+    CHECK(f.listener.values.empty());
+}
+
+TEST_CASE("the watch after one that failed asks whether the store serves")
+{
+    fixture f;
+    CHECK(f.store.latestWait == 1s);
+    f.store.answerWatch(store_failure::Unanswered, {}, 0);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    CHECK(f.store.latestWait <= 1ms);
+    f.store.answerWatch(store_failure::None, {}, 10);
+    f.runUntil([&] { return !f.store.watches.empty(); });
+    CHECK(f.store.latestWait == 1s);
+}
+
 TEST_CASE("a compacted history leads to a new listing that removes missing keys")
 {
     fixture f;
