--- a/include/mustardcourse/store/outage_tracker.h
+++ b/include/mustardcourse/store/outage_tracker.h
@@ -31,10 +31,10 @@
     /** Records that another call has failed, which is not repeated at once. */
     void recordOtherFailure() { m_hasCallFailed = true; }
 
-    /** Records a response and the end of an outage. Ask before whether there was one. */
+    /** Records a response, which ends an outage: afterwards none is possible or certain. */
     void recordResponse(time_point now);
 
-    /** Returns whether the last call that is repeated at once has failed. */
+    /** Returns whether a call that is repeated at once has failed since the last response. */
     [[nodiscard]] bool isFailing() const noexcept { return m_failingSince.has_value(); }
 
     /** Returns whether there may have been an outage since the last response. */
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -65,8 +65,8 @@
     /** Owners of keys that expire during an outage of the store write them again within this time
         after it recovers; until then the keys count as present. */
     duration expiryGracePeriod = std::chrono::milliseconds(2300);
-    /** A key expires after its owner has failed to write it several times, which it does each 1.2
-       s; so none expires in a shorter outage. */
+    /** A key expires after three writes of its owner have failed, which are 1.2 s apart; so none
+        expires in a shorter outage. */
     duration minimumOutage = std::chrono::seconds(1);
     /** How long one watch waits for a change. A watch that the store took and lost in the last
         moment of an outage is only detected at its end, and by then a host that counts as
