Ask whether the store serves before keys that expired are removed

At the end of the grace period the mirror now reads one of the missing keys and removes them only if the store answers at once; otherwise they are kept, and the end of the outage restarts their grace period. A store that serves postpones nothing by it.

--- a/include/mustardcourse/store/outage_tracker.h
+++ b/include/mustardcourse/store/outage_tracker.h
@@ -25,8 +25,10 @@
         , m_lastResponse(now)
     { }
 
-    /** Records that a call which a serving store answers at once, or a watch, has failed. */
-    void recordFailure(time_point now);
+    /** Records that a call has failed which a store that serves answers at once.
+        @param since  from when the store did not serve: when the call was made, or when a watch
+                      that had been waiting failed */
+    void recordFailure(time_point since);
 
     /** Records that another call has failed, which is not repeated at once. */
     void recordOtherFailure() { m_hasCallFailed = true; }
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -74,6 +74,8 @@
     duration watchDuration = std::chrono::milliseconds(2700);
     /** Wait of the watch after one that failed, which shows whether the store serves. */
     duration checkDuration = std::chrono::milliseconds(1);
+    /** A store that serves answers a read within this time. */
+    duration maximumCheckTime = std::chrono::milliseconds(500);
     /** Pause after changes, so that one response of the next watch covers several of them: the
         store meters every call, and changes come in bursts. */
     duration watchPause = std::chrono::milliseconds(500);
@@ -145,6 +147,11 @@
     /** Gives the owners of all missing keys the whole time to write them again. */
     void restartGracePeriod();
     void startGraceTimer();
+    /** Asks whether the store serves at the end of a grace period, as an outage that began in it
+       may not have been noticed. */
+    void confirmRemovals();
+    void onRemovalsConfirmed(time_point askedAt, store_failure failure);
+    /** Removes the missing keys whose grace period has ended. */
     void removeMissingKeys();
 
     net::loop &m_loop;
@@ -156,6 +163,7 @@
     std::map<std::string, store_position> m_positions;
     /** Keys that disappeared around an outage, and when they are removed. */
     std::map<std::string, time_point> m_missingKeys;
+    bool m_isConfirmationPending = false;
     /** Until when a key that disappears may have expired in an outage. */
     time_point m_graceEnd;
     std::set<std::string> m_listedKeys;
@@ -195,7 +203,7 @@
                       else
                           watch();
                   })
-    , m_graceTimer(loop, [this] { removeMissingKeys(); })
+    , m_graceTimer(loop, [this] { confirmRemovals(); })
 { }
 
 template <watchable_store Store>
@@ -503,14 +511,44 @@
 }
 
 template <watchable_store Store>
-void store_mirror<Store>::removeMissingKeys()
+void store_mirror<Store>::confirmRemovals()
 {
+    if (m_missingKeys.empty() || m_isConfirmationPending)
+        return;
     const time_point now = m_clock.now();
-    // The keys are kept for as long as an outage lasts, and its end restarts their grace period.
-    if (m_outages.isCertain(now)) {
-        m_graceTimer.start(m_settings.expiryGracePeriod);
+    const bool isAnyDue = std::any_of(m_missingKeys.begin(), m_missingKeys.end(),
+                                      [now](const auto &entry) { return entry.second <= now; });
+    if (!isAnyDue)
+        return startGraceTimer();
+    m_isConfirmationPending = true;
+    m_store.list(m_missingKeys.begin()->first, "",
+                 [this, now](store_batch &&page) { onRemovalsConfirmed(now, page.failure); });
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::onRemovalsConfirmed(time_point askedAt, store_failure failure)
+{
+    m_isConfirmationPending = false;
+    if (failure != store_failure::None) {
+        m_outages.recordFailure(askedAt);
+        reportPossibleOutage();
+        m_log.writeRateLimited("store-call-failed",
+                               {{"call", "confirm"}, {"failure", nameOf(failure)}});
+        // The end of an outage restarts the grace period, so nothing is due before.
+        const bool isOutage = m_outages.isCertain(m_clock.now());
+        m_graceTimer.start(isOutage ? m_settings.expiryGracePeriod : m_settings.maximumRetryDelay);
         return;
     }
+    recordStoreResponse();
+    if (m_clock.now() - askedAt >= m_settings.maximumCheckTime)
+        restartGracePeriod();
+    removeMissingKeys();
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::removeMissingKeys()
+{
+    const time_point now = m_clock.now();
     std::vector<std::string> removedKeys;
     for (const auto &[key, removalTime] : m_missingKeys) {
         if (removalTime <= now)
--- a/modules/store/outage_tracker.cpp
+++ b/modules/store/outage_tracker.cpp
@@ -1,12 +1,13 @@
 #include <mustardcourse/store/outage_tracker.h>
 
+#include <algorithm>
+
 namespace mustardcourse::store {
 
-void outage_tracker::recordFailure(time_point now)
+void outage_tracker::recordFailure(time_point since)
 {
     m_hasCallFailed = true;
-    if (!m_failingSince)
-        m_failingSince = now;
+    m_failingSince = std::min(m_failingSince.value_or(since), since);
 }
 
 void outage_tracker::recordResponse(time_point now)
--- a/tests/cut_watch_test.cpp
+++ b/tests/cut_watch_test.cpp
@@ -147,6 +147,12 @@
                  700ms, [](fixture &cut) { cut.store.cutWatches(); }, entryReturnTime);
          },
          entryReturnTime},
+        {"another outage soon afterwards that no watch shows", store_mode::Unavailable,
+         [](fixture &f) {
+             f.after(1s, [](fixture &again) { again.store.setMode(store_mode::Unavailable); });
+             f.after(4s, [](fixture &again) { again.store.setMode(store_mode::Serving); });
+         },
+         4s + entryReturnTime},
         {"another outage soon afterwards", store_mode::Unavailable,
          [](fixture &f) {
              f.after(1s, [](fixture &again) {
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -20,6 +20,9 @@
 {
     void list(std::string_view prefix, std::string_view, batch_handler handler)
     {
+        // Only a mirror that asks whether the store serves lists a single key.
+        if (prefix.size() > 2 && isConfirming)
+            return handler({store_failure::None, {}, at(10), false});
         lists.emplace_back(std::string(prefix), std::move(handler));
     }
     void watch(std::string_view, const store_position &since, duration wait, batch_handler handler)
@@ -50,6 +53,8 @@
     std::deque<std::pair<std::string, batch_handler>> lists;
     std::deque<std::pair<store_position, batch_handler>> watches;
     duration latestWait{0};
+    /** Whether it answers a mirror that asks whether it serves. */
+    bool isConfirming = true;
 };
 
 struct recording_listener final : mirror_listener
@@ -97,6 +102,7 @@
                                          .expiryGracePeriod = 120ms,
                                          .minimumOutage = 50ms,
                                          .watchDuration = 1s,
+                                         .maximumCheckTime = 50ms,
                                          .watchPause = 1ms,
                                          .initialRetryDelay = 5ms,
                                          .maximumRetryDelay = 10ms}};
@@ -238,6 +244,42 @@
     CHECK(f.listener.values == std::map<std::string, std::string>{{"t/b", "2"}});
 }
 
+TEST_CASE("a missing key is removed only if the store serves at the end of its grace period")
+{
+    struct row
+    {
+        std::string name;
+        store_failure failure;
+        duration answeredAfter;
+        bool isRemoved;
+    };
+    const row rows[] = {
+        {"answered at once", store_failure::None, 0ms, true},
+        {"answered late", store_failure::None, 60ms, false},
+        {"refused", store_failure::Refused, 0ms, false},
+        {"not answered", store_failure::Unanswered, 60ms, false},
+    };
+    for (const row &testCase : rows) {
+        CAPTURE(testCase.name);
+        fixture f;
+        f.runFor(130ms);
+        f.store.answerWatch(store_failure::Unanswered, {}, 0);
+        f.runUntil([&] { return !f.store.watches.empty(); });
+        f.store.answerWatch(store_failure::None, {deletion("t/a", 11)}, 11);
+        f.store.isConfirming = false;
+        f.runUntil([&] { return !f.store.lists.empty(); });
+        CHECK(f.listener.values.contains("t/a"));
+        f.runFor(testCase.answeredAfter);
+        f.store.isConfirming = true;
+        const auto confirm = f.store.lists.front().second;
+        f.store.lists.pop_front();
+        confirm({testCase.failure, {}, at(11), false});
+        CHECK(f.listener.values.contains("t/a") != testCase.isRemoved);
+        f.runFor(400ms);
+        CHECK_FALSE(f.listener.values.contains("t/a"));
+    }
+}
+
 TEST_CASE("keys that go missing one after the other are each removed in time")
 {
     fixture f;
