--- a/tests/cut_watch_test.cpp
+++ b/tests/cut_watch_test.cpp
@@ -2,6 +2,7 @@
 // watches that are cut, or other calls that fail, count as outages of the store in which the entry
 // may have expired; and against hosts that drop a target whose entry did expire in an outage.
 
+#include "limited_link.h"
 #include "single_host_fixture.h"
 
 using namespace mustardcourse;
@@ -177,3 +178,28 @@
         CHECK(f.call(1s));
     }
 }
+
+TEST_CASE("a large configuration that arrives slowly is read although a watch was cut")
+{
+    // The configuration takes 1.5 s to arrive.
+    constexpr data_rate linkRate = data_rate::megabitsPerSecond(2.4);
+    constexpr std::size_t furtherRoutes = 2000;
+    constexpr duration activationTimeLimit = 3s;
+    constexpr std::uint16_t linkPort = single_host_fixture::freePort;
+    single_host_fixture f;
+    standins::limited_link link(f.loop, f.time, linkRate.bytesPerSecond());
+    link.forward(single_host_fixture::local(linkPort),
+                 single_host_fixture::local(single_host_fixture::storePort),
+                 standins::limited_link::host_side::Dialled);
+    f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
+    f.writeConfiguration(1, 0);
+    settings::serving_settings settings = single_host_fixture::hostSettings();
+    settings.store = single_host_fixture::local(linkPort);
+    f.startHost(settings);
+    f.runFor(1200ms);
+    f.store.cutWatches();
+    f.writeConfiguration(2, furtherRoutes);
+    const time_point confirmed = f.time.now();
+    f.runUntil([&] { return f.activeVersion() == 2; }, 10s);
+    CHECK(f.time.now() - confirmed <= activationTimeLimit);
+}
