Repeat a failed read before the removal of expired keys sooner

When the read that asks whether the store serves failed once at the end of the grace period, it was repeated after 0.8 s, and a removed target was used for 3.1 s, beyond the drain time of 3 s. It is now repeated after 0.1 s, and then at doubled intervals up to the grace period.

--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -179,6 +179,7 @@
     outage_tracker m_outages;
     /** Whether a possible outage was logged, and not its end. */
     bool m_isOutageReported = false;
+    duration m_nextConfirmationDelay;
     duration m_nextRetryDelay;
     net::timer m_callTimer;
     net::timer m_graceTimer;
@@ -195,6 +196,7 @@
     , m_settings(std::move(settings))
     , m_graceEnd(clock.now())
     , m_outages(m_settings.minimumOutage, clock.now())
+    , m_nextConfirmationDelay(m_settings.initialRetryDelay)
     , m_nextRetryDelay(m_settings.initialRetryDelay)
     , m_callTimer(loop,
                   [this] {
@@ -534,11 +536,12 @@
         reportPossibleOutage();
         m_log.writeRateLimited("store-call-failed",
                                {{"call", "confirm"}, {"failure", nameOf(failure)}});
-        // The end of an outage restarts the grace period, so nothing is due before.
-        const bool isOutage = m_outages.isCertain(m_clock.now());
-        m_graceTimer.start(isOutage ? m_settings.expiryGracePeriod : m_settings.maximumRetryDelay);
+        m_graceTimer.start(m_nextConfirmationDelay);
+        m_nextConfirmationDelay =
+            std::min(2 * m_nextConfirmationDelay, m_settings.expiryGracePeriod);
         return;
     }
+    m_nextConfirmationDelay = m_settings.initialRetryDelay;
     recordStoreResponse();
     if (m_clock.now() - askedAt >= m_settings.maximumCheckTime)
         restartGracePeriod();
--- a/tests/cut_watch_test.cpp
+++ b/tests/cut_watch_test.cpp
@@ -109,6 +109,12 @@
              f.every(
                  1700ms, [](fixture &cut) { cut.store.cutWatches(); }, 3600ms);
          }},
+        {"a watch is cut and the read of the key fails",
+         [](fixture &f) {
+             f.after(2200ms, [](fixture &closed) { closed.store.closeCalls("/kv-range"); });
+             f.after(2420ms, [](fixture &closed) { closed.store.closeCalls(""); });
+         },
+         2500ms, [](fixture &f) { f.after(2460ms, [](fixture &cut) { cut.store.cutWatches(); }); }},
         {"the renewal of the lease fails", nothing, 4500ms,
          [](fixture &f) { f.store.closeCalls("/kv-keep"); }},
     };
