Share the doubled retry delays and the record of a failed call

The mirror of the store recorded a failed call and logged it in two places, searched its missing keys for the next removal in two ways, and had two of three copies of the delay that doubles with each failure; the third was in lease_membership. Now there is retry_backoff for all three, and one function each for the record of a failed call and for the next removal.

Ruled out as changes of behaviour: before the first listing is complete the delay stays the initial one, as it did.

--- a/include/mustardcourse/store/lease_membership.h
+++ b/include/mustardcourse/store/lease_membership.h
@@ -2,6 +2,7 @@
 
 #include <mustardcourse/core/hash.h>
 #include <mustardcourse/core/log.h>
+#include <mustardcourse/core/retry_backoff.h>
 #include <mustardcourse/net/loop.h>
 #include <mustardcourse/store/store_port.h>
 
@@ -56,7 +57,7 @@
         , m_store(store)
         , m_settings(std::move(settings))
         , m_onFailure(std::move(onFailure))
-        , m_nextRetryDelay(m_settings.initialRetryDelay)
+        , m_backoff(m_settings.initialRetryDelay, m_settings.maximumRetryDelay)
         , m_timer(loop, [this] { renew(); })
     { }
 
@@ -131,7 +132,7 @@
             return scheduleRetry(failure);
         }
         m_log.info("membership-joined", {{"key", m_settings.key}});
-        m_nextRetryDelay = m_settings.initialRetryDelay;
+        m_backoff.reset();
         schedule(m_settings.renewalInterval);
     }
 
@@ -143,7 +144,7 @@
             return joinAgain(duration::zero());
         if (failure != store_failure::None)
             return scheduleRetry(failure);
-        m_nextRetryDelay = m_settings.initialRetryDelay;
+        m_backoff.reset();
         schedule(m_settings.renewalInterval);
     }
 
@@ -151,8 +152,7 @@
     {
         m_log.writeRateLimited("membership-failed", {{"failure", nameOf(failure)}});
         m_onFailure();
-        schedule(m_nextRetryDelay);
-        m_nextRetryDelay = std::min(2 * m_nextRetryDelay, m_settings.maximumRetryDelay);
+        schedule(m_backoff.next());
     }
 
     void schedule(duration delay)
@@ -167,7 +167,7 @@
     std::function<void()> m_onFailure;
     std::optional<lease_id> m_lease;
     bool m_isLeaving = false;
-    duration m_nextRetryDelay;
+    retry_backoff m_backoff;
     net::timer m_timer;
 };
 
--- a/include/mustardcourse/store/store_mirror.h
+++ b/include/mustardcourse/store/store_mirror.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <mustardcourse/core/log.h>
+#include <mustardcourse/core/retry_backoff.h>
 #include <mustardcourse/net/loop.h>
 #include <mustardcourse/store/outage_tracker.h>
 #include <mustardcourse/store/store_port.h>
@@ -141,11 +142,15 @@
     void beginHistory(const store_position &current);
     void apply(store_item &&item);
     void handleMissing(const std::string &key);
+    /** @param since  from when the store did not serve @see outage_tracker */
+    void recordFailedCall(time_point since, store_failure failure, std::string_view call);
     void retry(store_failure failure, std::string_view call);
     void recordStoreResponse();
     void reportPossibleOutage();
     /** Gives the owners of all missing keys the whole time to write them again. */
     void restartGracePeriod();
+    /** Returns when the next missing key is removed; time_point::max() if none is missing. */
+    [[nodiscard]] time_point nextRemovalTime() const;
     void startGraceTimer();
     /** Asks whether the store serves at the end of a grace period, as an outage that began in it
        may not have been noticed. */
@@ -179,8 +184,8 @@
     outage_tracker m_outages;
     /** Whether a possible outage was logged, and not its end. */
     bool m_isOutageReported = false;
-    duration m_nextConfirmationDelay;
-    duration m_nextRetryDelay;
+    retry_backoff m_confirmationBackoff;
+    retry_backoff m_retryBackoff;
     net::timer m_callTimer;
     net::timer m_graceTimer;
 };
@@ -196,8 +201,8 @@
     , m_settings(std::move(settings))
     , m_graceEnd(clock.now())
     , m_outages(m_settings.minimumOutage, clock.now())
-    , m_nextConfirmationDelay(m_settings.initialRetryDelay)
-    , m_nextRetryDelay(m_settings.initialRetryDelay)
+    , m_confirmationBackoff(m_settings.initialRetryDelay, m_settings.expiryGracePeriod)
+    , m_retryBackoff(m_settings.initialRetryDelay, m_settings.maximumRetryDelay)
     , m_callTimer(loop,
                   [this] {
                       if (m_isListingNeeded)
@@ -234,7 +239,7 @@
     if (m_outages.isCertain(now))
         restartGracePeriod();
     m_outages.recordResponse(now);
-    m_nextRetryDelay = m_settings.initialRetryDelay;
+    m_retryBackoff.reset();
     if (std::exchange(m_isOutageReported, false))
         m_log.info(
             "store-regained",
@@ -243,15 +248,20 @@
 }
 
 template <watchable_store Store>
-void store_mirror<Store>::retry(store_failure failure, std::string_view call)
+void store_mirror<Store>::recordFailedCall(time_point since, store_failure failure,
+                                           std::string_view call)
 {
-    m_outages.recordFailure(m_clock.now());
+    m_outages.recordFailure(since);
     reportPossibleOutage();
     m_log.writeRateLimited("store-call-failed", {{"call", call}, {"failure", nameOf(failure)}});
-    m_callTimer.start(m_nextRetryDelay);
+}
+
+template <watchable_store Store>
+void store_mirror<Store>::retry(store_failure failure, std::string_view call)
+{
+    recordFailedCall(m_clock.now(), failure, call);
     // Nothing can be served before the first listing completes, so it is retried without backoff.
-    if (m_isComplete)
-        m_nextRetryDelay = std::min(2 * m_nextRetryDelay, m_settings.maximumRetryDelay);
+    m_callTimer.start(m_isComplete ? m_retryBackoff.next() : m_settings.initialRetryDelay);
 }
 
 template <watchable_store Store>
@@ -501,26 +511,29 @@
     startGraceTimer();
 }
 
+template <watchable_store Store>
+time_point store_mirror<Store>::nextRemovalTime() const
+{
+    time_point next = time_point::max();
+    for (const auto &[key, removalTime] : m_missingKeys)
+        next = std::min(next, removalTime);
+    return next;
+}
+
 template <watchable_store Store>
 void store_mirror<Store>::startGraceTimer()
 {
-    if (m_missingKeys.empty())
-        return;
-    const auto next =
-        std::min_element(m_missingKeys.begin(), m_missingKeys.end(),
-                         [](const auto &a, const auto &b) { return a.second < b.second; });
-    m_graceTimer.start(std::max(next->second - m_clock.now(), duration::zero()));
+    if (!m_missingKeys.empty())
+        m_graceTimer.start(std::max(nextRemovalTime() - m_clock.now(), duration::zero()));
 }
 
 template <watchable_store Store>
 void store_mirror<Store>::confirmRemovals()
 {
-    if (m_missingKeys.empty() || m_isConfirmationPending)
+    if (m_isConfirmationPending)
         return;
     const time_point now = m_clock.now();
-    const bool isAnyDue = std::any_of(m_missingKeys.begin(), m_missingKeys.end(),
-                                      [now](const auto &entry) { return entry.second <= now; });
-    if (!isAnyDue)
+    if (nextRemovalTime() > now)
         return startGraceTimer();
     m_isConfirmationPending = true;
     m_store.list(m_missingKeys.begin()->first, "",
@@ -532,16 +545,11 @@
 {
     m_isConfirmationPending = false;
     if (failure != store_failure::None) {
-        m_outages.recordFailure(askedAt);
-        reportPossibleOutage();
-        m_log.writeRateLimited("store-call-failed",
-                               {{"call", "confirm"}, {"failure", nameOf(failure)}});
-        m_graceTimer.start(m_nextConfirmationDelay);
-        m_nextConfirmationDelay =
-            std::min(2 * m_nextConfirmationDelay, m_settings.expiryGracePeriod);
+        recordFailedCall(askedAt, failure, "confirm");
+        m_graceTimer.start(m_confirmationBackoff.next());
         return;
     }
-    m_nextConfirmationDelay = m_settings.initialRetryDelay;
+    m_confirmationBackoff.reset();
     recordStoreResponse();
     if (m_clock.now() - askedAt >= m_settings.maximumCheckTime)
         restartGracePeriod();
