Share the start of a host and the listening socket of tests

Four tests registered a target, wrote routes of all types and started a host in the same way, two peers opened a listening socket in the same way, and the rows of the cut watches repeated one action. The fixture, blocking_connection.h and the test have one piece each now.

--- a/tests/blocking_connection.h
+++ b/tests/blocking_connection.h
@@ -23,6 +23,20 @@
     return address;
 }
 
+/** Returns a socket that listens on a port on loopback. The caller closes it. */
+inline int listeningSocket(std::uint16_t port)
+{
+    constexpr int backlog = 64;
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = loopbackAddress(port);
+    const auto *genericAddress = reinterpret_cast<const sockaddr *>(&address);
+    REQUIRE(::bind(descriptor, genericAddress, sizeof(address)) == 0);
+    REQUIRE(::listen(descriptor, backlog) == 0);
+    return descriptor;
+}
+
 /** A connection whose opening and data the kernel accepts while the peer's event loop does not run.
  */
 class blocking_connection
@@ -70,15 +84,8 @@
 {
 public:
     explicit silent_listener(std::uint16_t port)
-        : m_descriptor(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const int on = 1;
-        ::setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        const sockaddr_in address = loopbackAddress(port);
-        const auto *genericAddress = reinterpret_cast<const sockaddr *>(&address);
-        REQUIRE(::bind(m_descriptor, genericAddress, sizeof(address)) == 0);
-        REQUIRE(::listen(m_descriptor, 64) == 0);
-    }
+        : m_descriptor(listeningSocket(port))
+    { }
     ~silent_listener() { ::close(m_descriptor); }
     silent_listener(const silent_listener &) = delete;
     silent_listener &operator=(const silent_listener &) = delete;
--- a/tests/broken_target_response_test.cpp
+++ b/tests/broken_target_response_test.cpp
@@ -17,13 +17,7 @@
 class fixture : public single_host_fixture
 {
 public:
-    fixture()
-    {
-        registerTarget(local(targetPort));
-        writeRoutesOfAllTypes();
-        startHost(hostSettings());
-        target.setWorkTime(0ms);
-    }
+    fixture() { startHostWithRoutesOfAllTypes(); }
 
     [[nodiscard]] tests::response_content targetContent() const
     {
--- a/tests/cut_watch_test.cpp
+++ b/tests/cut_watch_test.cpp
@@ -25,13 +25,7 @@
 class fixture : public single_host_fixture
 {
 public:
-    fixture()
-    {
-        registerTarget(local(targetPort));
-        writeRoutesOfAllTypes();
-        startHost(hostSettings());
-        target.setWorkTime(0ms);
-    }
+    fixture() { startHostWithRoutesOfAllTypes(); }
 
     /** Runs an action after a time from now. */
     void after(duration delay, std::function<void(fixture &)> action)
@@ -70,6 +64,11 @@
     std::vector<std::unique_ptr<net::timer>> m_timers;
 };
 
+void cutWatches(fixture &f)
+{
+    f.store.cutWatches();
+}
+
 } // namespace
 
 TEST_CASE("a target whose entry was removed is not used beyond the drain time although calls fail")
@@ -86,35 +85,18 @@
     const auto nothing = [](fixture &) {};
     const row rows[] = {
         {"nothing fails", nothing, 1s, nothing},
-        {"two watches are cut",
-         [](fixture &f) { f.after(1200ms, [](fixture &cut) { cut.store.cutWatches(); }); }, 2500ms,
-         [](fixture &f) { f.after(2s, [](fixture &cut) { cut.store.cutWatches(); }); }},
-        {"each watch is cut soon",
-         [](fixture &f) {
-             f.every(
-                 300ms, [](fixture &cut) { cut.store.cutWatches(); }, 5s);
-         },
-         1s,
-         [](fixture &f) {
-             f.every(
-                 300ms, [](fixture &cut) { cut.store.cutWatches(); }, 1s);
-         }},
-        {"each watch is cut late",
-         [](fixture &f) {
-             f.every(
-                 1700ms, [](fixture &cut) { cut.store.cutWatches(); }, 5s);
-         },
-         3600ms,
-         [](fixture &f) {
-             f.every(
-                 1700ms, [](fixture &cut) { cut.store.cutWatches(); }, 3600ms);
-         }},
+        {"two watches are cut", [](fixture &f) { f.after(1200ms, cutWatches); }, 2500ms,
+         [](fixture &f) { f.after(2s, cutWatches); }},
+        {"each watch is cut soon", [](fixture &f) { f.every(300ms, cutWatches, 5s); }, 1s,
+         [](fixture &f) { f.every(300ms, cutWatches, 1s); }},
+        {"each watch is cut late", [](fixture &f) { f.every(1700ms, cutWatches, 5s); }, 3600ms,
+         [](fixture &f) { f.every(1700ms, cutWatches, 3600ms); }},
         {"a watch is cut and the read of the key fails",
          [](fixture &f) {
              f.after(2200ms, [](fixture &closed) { closed.store.closeCalls("/kv-range"); });
              f.after(2420ms, [](fixture &closed) { closed.store.closeCalls(""); });
          },
-         2500ms, [](fixture &f) { f.after(2460ms, [](fixture &cut) { cut.store.cutWatches(); }); }},
+         2500ms, [](fixture &f) { f.after(2460ms, cutWatches); }},
         {"the renewal of the lease fails", nothing, 4500ms,
          [](fixture &f) { f.store.closeCalls("/kv-keep"); }},
     };
@@ -149,11 +131,7 @@
         {"a silent store", store_mode::Unresponsive, [](fixture &) {}, entryReturnTime},
         {"a store that refuses", store_mode::Unavailable, [](fixture &) {}, entryReturnTime},
         {"watches are cut afterwards", store_mode::Unavailable,
-         [](fixture &f) {
-             f.every(
-                 700ms, [](fixture &cut) { cut.store.cutWatches(); }, entryReturnTime);
-         },
-         entryReturnTime},
+         [](fixture &f) { f.every(700ms, cutWatches, entryReturnTime); }, entryReturnTime},
         {"another outage soon afterwards that no watch shows", store_mode::Unavailable,
          [](fixture &f) {
              f.after(1s, [](fixture &again) { again.store.setMode(store_mode::Unavailable); });
--- a/tests/reset_response_test.cpp
+++ b/tests/reset_response_test.cpp
@@ -142,9 +142,7 @@
         CAPTURE(testCase.end);
         single_host_fixture f;
         resetting_peer target(peerPort);
-        f.registerTarget(single_host_fixture::local(peerPort));
-        f.writeRoutesOfAllTypes();
-        f.startHost(single_host_fixture::hostSettings());
+        f.startHostWithRoutesOfAllTypes(single_host_fixture::local(peerPort));
         const tests::blocking_connection caller(single_host_fixture::callerPort);
         caller.send(fmt::format("GET /{}/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n"
                                 "X-Time-Budget-Ms: 2000\r\n\r\n",
--- a/tests/resetting_peer.h
+++ b/tests/resetting_peer.h
@@ -24,15 +24,8 @@
 {
 public:
     explicit resetting_peer(std::uint16_t port)
-        : m_listening(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const int on = 1;
-        ::setsockopt(m_listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        const sockaddr_in address = loopbackAddress(port);
-        const auto *genericAddress = reinterpret_cast<const sockaddr *>(&address);
-        REQUIRE(::bind(m_listening, genericAddress, sizeof(address)) == 0);
-        REQUIRE(::listen(m_listening, 16) == 0);
-    }
+        : m_listening(listeningSocket(port))
+    { }
     ~resetting_peer()
     {
         closeConnection();
@@ -64,11 +57,6 @@
         REQUIRE(m_connection >= 0);
         REQUIRE(::send(m_connection, bytes.data(), bytes.size(), MSG_DONTWAIT)
                 == static_cast<ssize_t>(bytes.size()));
-        endConnection(end);
-    }
-
-    void endConnection(peer_end end)
-    {
         if (end != peer_end::Reset)
             ::shutdown(m_connection, SHUT_WR);
         if (end == peer_end::Close)
--- a/tests/single_host_fixture.h
+++ b/tests/single_host_fixture.h
@@ -63,6 +63,16 @@
         startHost(hostSettings());
     }
 
+    /** Registers the target at an address, and starts the host with routes of all types. The target
+        responds at once. */
+    void startHostWithRoutesOfAllTypes(const endpoint &targetAddress = local(targetPort))
+    {
+        registerTarget(targetAddress);
+        writeRoutesOfAllTypes();
+        startHost(hostSettings());
+        target.setWorkTime(std::chrono::milliseconds(0));
+    }
+
     /** Registers the target at an address in front of it. */
     void registerTarget(const endpoint &address)
     {
--- a/tests/truncated_head_test.cpp
+++ b/tests/truncated_head_test.cpp
@@ -9,11 +9,8 @@
 TEST_CASE("a target that closes in the middle of the head of its answer gives callers no success")
 {
     single_host_fixture f;
-    f.registerTarget(single_host_fixture::local(single_host_fixture::targetPort));
-    f.writeRoutesOfAllTypes();
-    f.startHost(single_host_fixture::hostSettings());
+    f.startHostWithRoutesOfAllTypes();
     f.target.setFault(standins::target_fault::TruncatedHead);
-    f.target.setWorkTime(0ms);
     const std::string head = "HTTP/1.1 200 Answer\r\nX-Attempt-Id: id\r\nX-Server-Stamp: i-0.id\r\n"
                              "X-Server-Load: 1,0,2\r\nContent-Length: 64\r\n\r\n";
     for (const char *route : {"idempotent", "once", "lookup"}) {
