Show that a write that consumes a reset does not hide it

The stream remembers that a write has failed, as the kernel reports an error only once. No test needed that: in the existing one the failed write is reported before the stream is read. In the new one the write happens in the turn of the loop that reads the reset. Without the flag it fails (the end counts as orderly), with it it passes.

--- a/tests/reset_response_test.cpp
+++ b/tests/reset_response_test.cpp
@@ -93,6 +93,30 @@
     CHECK(*f.handler.reason == net::stream_end_reason::Broken);
 }
 
+TEST_CASE("a stream tells a reset from an orderly end when a write fails in the turn that reads it")
+{
+    struct writing_handler final : net::stream_handler
+    {
+        void onData(std::string_view) override { other->write("x"); }
+        void onEnd(net::stream_end_reason) override { }
+
+        net::stream *other = nullptr;
+    };
+    constexpr std::uint16_t firstPort = peerPort + 1;
+    stream_fixture f;
+    resetting_peer first(firstPort);
+    writing_handler writer;
+    writer.other = f.stream.get();
+    const auto firstStream = net::stream::dial(f.loop, {"127.0.0.1", firstPort}, writer);
+    f.runUntil([&] { return first.tryAccept(); });
+    f.runFor(10ms);
+    // The loop reads in the order of arrival, so it writes before it learns of the reset.
+    first.sendAndEnd("x", peer_end::Close);
+    f.peer.sendAndEnd(std::string(3000, 'b'), peer_end::Reset);
+    f.runUntil([&] { return f.handler.reason.has_value(); });
+    CHECK(*f.handler.reason == net::stream_end_reason::Broken);
+}
+
 TEST_CASE("a response without a length is complete only if its connection ends in order")
 {
     // Targets, the store and other hosts are called through such a pool.
